--- /dev/null
+++ b/crates/adapter/src/birth.rs
@@ -0,0 +1,126 @@
+//! An instance's first message: reads what the decisions need and builds them from it. Unknown keys are ignored.
+
+use anyhow::{Context, Result};
+use serde::Deserialize;
+use shelfgrade::choice::{Chooser, WarmUp};
+use shelfgrade::host::{Circle, Effect, Offering};
+use shelfgrade::time::Span;
+
+#[derive(Deserialize)]
+struct Env {
+    #[serde(default = "one")]
+    balancers: usize,
+    discovery: Discovery,
+    offerings: Vec<Class>,
+    bounds: Bounds,
+    invariants: Invariants,
+    #[serde(default)]
+    extra: Extra,
+}
+
+fn one() -> usize {
+    1
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    name: String,
+    idempotency: Idempotency,
+    #[serde(default)]
+    group: Group,
+    #[serde(default)]
+    window_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Idempotency {
+    Repeatable,
+    ByKey,
+    Once,
+}
+
+#[derive(Deserialize, Default, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Group {
+    All,
+    Zone,
+    /// The narrowest, where the settings leave it out.
+    #[default]
+    Cell,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    most_connects: usize,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct Invariants {
+    #[serde(default)]
+    cold_from: f64,
+    #[serde(default)]
+    cold_ms: f64,
+    overload_factor: f64,
+    overload_for_ms: f64,
+    #[serde(default)]
+    must_ask_in_ms: f64,
+    stop_sending_within_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct Extra {
+    #[serde(default)]
+    message_aim_ms: Vec<f64>,
+}
+
+/// The decisions of a new instance, and its offerings' names in their order.
+pub fn parse(seed: u64, text: &str) -> Result<(Chooser, Vec<String>)> {
+    let env: Env = serde_json::from_str(text).context("env")?;
+    let Env { offerings, invariants, bounds, extra, .. } = env;
+    let warm_up = WarmUp::new(
+        env.balancers,
+        invariants.cold_from,
+        Span::from_ms(invariants.cold_ms),
+        invariants.overload_factor,
+        Span::from_ms(invariants.overload_for_ms),
+    );
+    let must_ask_in = match env.discovery {
+        Discovery::Automatic => None,
+        Discovery::Subscribe => Some(Span::from_ms(invariants.must_ask_in_ms)),
+    };
+    let known = offerings.iter().enumerate().map(|(i, class)| Offering {
+        effect: match class.idempotency {
+            Idempotency::Repeatable => Effect::Replayable,
+            Idempotency::Once => Effect::SingleUse,
+            Idempotency::ByKey => Effect::Referenced {
+                among: match class.group {
+                    Group::All => Circle::All,
+                    Group::Zone => Circle::Zone,
+                    Group::Cell => Circle::Cell,
+                },
+                window: Span::from_ms(class.window_ms),
+            },
+        },
+        message_limit: extra.message_aim_ms.get(i).copied().map(Span::from_ms),
+    });
+    let chooser = Chooser::new(
+        seed,
+        known.collect(),
+        bounds.most_connects,
+        Span::from_ms(bounds.max_retry_after_ms),
+        Span::from_ms(invariants.stop_sending_within_ms),
+        must_ask_in,
+        warm_up,
+    );
+    Ok((chooser, offerings.into_iter().map(|o| o.name).collect()))
+}
--- /dev/null
+++ b/crates/adapter/src/main.rs
@@ -0,0 +1,267 @@
+//! Speaks the simulator's wire on standard input and output and hosts any number of separate instances.
+
+mod birth;
+mod wire;
+
+use anyhow::{bail, Context, Result};
+use shelfgrade::choice::Chooser;
+use shelfgrade::host::{Arrival, CircuitId, Ending, Host, Listed, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+use wire::Line;
+
+fn main() -> ExitCode {
+    match Adapter::default().run(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("shelfgrade-adapter: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// One instance: its decisions, and the names by which its circuits call offerings.
+struct Instance {
+    chooser: Chooser,
+    offerings: Vec<String>,
+}
+
+/// A list whose lines are still coming in.
+struct OpenList {
+    who: u64,
+    whole: bool,
+    restored: bool,
+    missing: usize,
+    lines: Vec<Listed>,
+}
+
+#[derive(Default)]
+struct Adapter {
+    instances: BTreeMap<u64, Instance>,
+    reply: Reply,
+    batch: Option<u64>,
+    now: Point,
+    who: Option<u64>,
+    list: Option<OpenList>,
+}
+
+impl Adapter {
+    fn run(mut self, mut input: impl BufRead, mut output: impl Write) -> Result<()> {
+        let mut text = String::new();
+        let mut number = 0u64;
+        loop {
+            text.clear();
+            number += 1;
+            if input.read_line(&mut text).with_context(|| format!("line {number}"))? == 0 {
+                if self.batch.is_some() {
+                    bail!("line {number}: the input ends inside a batch");
+                }
+                return Ok(());
+            }
+            let line = text.trim_end_matches(['\n', '\r']);
+            if line.is_empty() {
+                continue;
+            }
+            let done = self.read(&Line::parse(line)).with_context(|| format!("line {number}"))?;
+            if done {
+                output.write_all(self.reply.text.as_bytes())?;
+                output.flush()?;
+                self.reply = Reply::default();
+            }
+        }
+    }
+
+    /// Takes in one line; true where it ends a batch.
+    fn read(&mut self, line: &Line) -> Result<bool> {
+        if let Some(list) = &self.list {
+            if line.name != "ENTRY" {
+                bail!("{} in place of one of {} list entries still due", line.name, list.missing);
+            }
+        }
+        match (line.name, self.batch) {
+            ("SYNC", None) => {
+                self.now = line.point("now_ms")?;
+                self.batch = Some(line.whole("seq")?);
+                self.who = None;
+            }
+            ("EOF_BATCH", Some(seq)) => {
+                writeln!(self.reply.text, "READY seq={seq}")?;
+                self.batch = None;
+                return Ok(true);
+            }
+            ("SYNC", Some(_)) => bail!("SYNC inside a batch"),
+            (name, None) => bail!("{name} outside a batch"),
+            ("ABOUT", _) => self.who = Some(line.whole("who")?),
+            ("ENTRY", _) => self.entry(line)?,
+            (name, _) => {
+                let who = self.who.with_context(|| format!("{name} before any ABOUT"))?;
+                self.event(who, line)?;
+            }
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, who: u64, line: &Line) -> Result<()> {
+        if line.name == "BORN" {
+            let (chooser, offerings) = birth::parse(line.whole("salt")?, line.required("env")?)?;
+            self.instances.insert(who, Instance { chooser, offerings });
+            return Ok(());
+        }
+        if line.name == "HALT" {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let now = self.now;
+        let instance = self
+            .instances
+            .get_mut(&who)
+            .with_context(|| format!("{} for instance {who}, which is not running", line.name))?;
+        let Instance { chooser, offerings } = instance;
+        let host = self.reply.of(who);
+        match line.name {
+            "TARGETS" => {
+                let form = line.required("form")?;
+                let missing = line.optional("lines").map_or(Ok(0), |_| line.whole("lines"))? as usize;
+                let whole = match form {
+                    "update" => false,
+                    "replace" | "restored" => true,
+                    "unavailable" => {
+                        chooser.list_failed(now, host);
+                        return Ok(());
+                    }
+                    _ => bail!("form={form} is unknown"),
+                };
+                let restored = form == "restored";
+                self.list = Some(OpenList { who, whole, restored, missing, lines: Vec::new() });
+                self.close_list_when_full();
+            }
+            "REQUEST" => chooser.arrived(&arrival(line, offerings)?, now, host),
+            "PREEXISTING" => chooser.open_already(&arrival(line, offerings)?, line.required("server")?, now),
+            "FLOWING" => chooser.stands(line.circuit()?, now),
+            "FINISHED" => chooser.ended(line.circuit()?, ending(line)?, line.flag("last")?, now, host),
+            "HEARTBEAT" if line.whole("what")? == 2 => {
+                chooser.messages_take(line.circuit()?, line.span("value")?, now);
+            }
+            "HANGUP" => chooser.left(line.circuit()?),
+            "FIRED" => chooser.woke(line.whole("label")?, now, host),
+            // Nothing is decided by these yet, but a malformed one is still a fault.
+            "HEARTBEAT" => drop(line.circuit()?),
+            "MESSAGE" => drop(line.whole("from")?),
+            "STATUS_BACK" => drop(line.required("server")?),
+            name => bail!("{name} is no message of this wire"),
+        }
+        Ok(())
+    }
+
+    fn entry(&mut self, line: &Line) -> Result<()> {
+        let list = self.list.as_mut().context("ENTRY outside a list")?;
+        list.lines.push(Listed {
+            server: line.required("server")?.into(),
+            zone: line.optional("site").unwrap_or_default().to_owned(),
+            cell: line.optional("pod").map_or(Ok(0), |_| line.whole("pod"))?,
+            started: match line.optional("up_since_ms") {
+                Some(_) => Some(line.point("up_since_ms")?).filter(|p| *p > Point::default()),
+                None => None,
+            },
+            standing: match line.required("status")? {
+                "active" => Standing::Active,
+                "leaving" => Standing::Draining,
+                "left" => Standing::Gone,
+                status => bail!("status={status} is unknown"),
+            },
+        });
+        list.missing = list.missing.saturating_sub(1);
+        self.close_list_when_full();
+        Ok(())
+    }
+
+    fn close_list_when_full(&mut self) {
+        let Some(list) = self.list.take_if(|l| l.missing == 0) else { return };
+        let Some(instance) = self.instances.get_mut(&list.who) else { return };
+        if list.restored {
+            instance.chooser.start(&list.lines, self.now, self.reply.of(list.who));
+        } else {
+            instance.chooser.listed(&list.lines, list.whole, self.now);
+        }
+    }
+}
+
+fn arrival<'a>(line: &Line<'a>, offerings: &[String]) -> Result<Arrival<'a>> {
+    let priority = line.required("priority")?;
+    Ok(Arrival {
+        circuit: line.circuit()?,
+        offering: offerings.iter().position(|o| o == priority),
+        key: line.optional("object"),
+        group: line.optional("group"),
+        patience_ends: line.point("due_ms")?,
+        mid_flow: line.flag("stray")?,
+    })
+}
+
+fn ending(line: &Line) -> Result<Ending> {
+    Ok(match line.whole("result")? {
+        1 => Ending::Finished,
+        2 => Ending::Errored,
+        3 => Ending::TurnedAway,
+        4 => Ending::TimedOut,
+        5 => Ending::Unreachable,
+        6 => Ending::Broken,
+        7 => Ending::CalledOff,
+        8 => Ending::Moot,
+        code => bail!("result={code} is unknown"),
+    })
+}
+
+/// The reply being written; as a `Host` it writes for the instance last named.
+#[derive(Default)]
+struct Reply {
+    text: String,
+    from: Option<u64>,
+    who: u64,
+}
+
+impl Reply {
+    fn of(&mut self, who: u64) -> &mut Self {
+        self.who = who;
+        self
+    }
+
+    fn say(&mut self, message: std::fmt::Arguments) {
+        let written = if self.from.replace(self.who) == Some(self.who) {
+            writeln!(self.text, "{message}")
+        } else {
+            writeln!(self.text, "FROM who={}\n{message}", self.who)
+        };
+        written.expect("writing to a String does not fail");
+    }
+}
+
+impl Host for Reply {
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span) {
+        let wait = time_out.as_ms();
+        self.say(format_args!("SUBMIT_TO ref={:016x} server={server} max_wait_ms={wait}", circuit.0));
+    }
+
+    fn push_back(&mut self, circuit: CircuitId, pause: Span) {
+        self.say(format_args!("SHED ref={:016x} wait_ms={}", circuit.0, pause.as_ms()));
+    }
+
+    fn forfeit(&mut self, circuit: CircuitId) {
+        self.say(format_args!("RESPOND_ERROR ref={:016x}", circuit.0));
+    }
+
+    fn send_away(&mut self, circuit: CircuitId) {
+        self.say(format_args!("MIGRATE ref={:016x}", circuit.0));
+    }
+
+    fn subscribe(&mut self) {
+        self.say(format_args!("LISTEN want=1"));
+    }
+
+    fn wake(&mut self, at: Point, label: u64) {
+        self.say(format_args!("SET_TIMER instant_ms={} label={label}", at.as_ms()));
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,106 @@
+//! The interface between the decisions and whatever carries them out: the trait [`Host`], and the plain
+//! types that both sides share. Nothing is decided here.
+
+use crate::time::{Point, Span};
+use std::rc::Rc;
+
+/// What the decisions ask for. Each call is carried out at once and in order.
+pub trait Host {
+    /// Starts a connect; a circuit's connects count 0, 1, 2 … in the order of these calls.
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span);
+    /// Final answer: not done, trying again is harmless, best after `pause`.
+    fn push_back(&mut self, circuit: CircuitId, pause: Span);
+    /// Final answer: not done, nothing promised.
+    fn forfeit(&mut self, circuit: CircuitId);
+    /// Ends a standing connection politely; its client comes again as a new circuit.
+    fn send_away(&mut self, circuit: CircuitId);
+    /// Asks to be sent every change of the server list from now on.
+    fn subscribe(&mut self);
+    /// Asks for a call of `woke` with this label at `at`.
+    fn wake(&mut self, at: Point, label: u64);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CircuitId(pub u64);
+
+/// A server's name at the door; its text also gives the order of the list.
+pub type ServerId = Rc<str>;
+
+/// Whether a circuit may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    /// Carries a mark by which the servers of `among` drop its repeats for `window`.
+    Referenced {
+        among: Circle,
+        window: Span,
+    },
+    SingleUse,
+}
+
+/// Which servers know each other's marks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Circle {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Offering {
+    pub effect: Effect,
+    /// The time within which a message on a standing connection should be answered.
+    pub message_limit: Option<Span>,
+}
+
+/// A circuit as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    pub circuit: CircuitId,
+    /// Position in the offerings given at the start; none if unknown.
+    pub offering: Option<usize>,
+    pub key: Option<&'a str>,
+    /// Connections of one group share work where they share a server.
+    pub group: Option<&'a str>,
+    pub patience_ends: Point,
+    /// Packets of a connection that some server already holds.
+    pub mid_flow: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Active,
+    Draining,
+    Gone,
+}
+
+/// A line of the server list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: ServerId,
+    pub zone: String,
+    pub cell: u64,
+    /// When it last started; none for long ago.
+    pub started: Option<Point>,
+    pub standing: Standing,
+}
+
+/// How a connect ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Finished,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    Unreachable,
+    Broken,
+    CalledOff,
+    Moot,
+}
+
+impl Ending {
+    /// Whether this proves that the circuit did not run.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unreachable | Ending::Moot)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decides where a balancer places long-lived connections.
+//!
+//! [`choice`] holds every decision, [`host`] the interface to whatever carries them out, [`time`] the two types of
+//! time. A host implements [`host::Host`] and calls a [`choice::Chooser`]:
+//!
+//! ```
+//! use shelfgrade::choice::{Chooser, WarmUp};
+//! use shelfgrade::host::*;
+//! use shelfgrade::time::{Point, Span};
+//!
+//! struct Printer(Vec<String>);
+//! impl Host for Printer {
+//!     fn connect(&mut self, circuit: CircuitId, server: &ServerId, _: Span) {
+//!         self.0.push(format!("circuit {} to {server}", circuit.0));
+//!     }
+//!     fn push_back(&mut self, _: CircuitId, _: Span) {}
+//!     fn forfeit(&mut self, _: CircuitId) {}
+//!     fn send_away(&mut self, _: CircuitId) {}
+//!     fn subscribe(&mut self) {}
+//!     fn wake(&mut self, _: Point, _: u64) {}
+//! }
+//!
+//! let now = Point::from_ms(1000.0);
+//! let mut host = Printer(Vec::new());
+//! let warm_up = WarmUp::new(1, 0.3, Span::millis(8000), 3.0, Span::millis(1000));
+//! let offering = Offering { effect: Effect::Replayable, message_limit: None };
+//! let (pause, grace) = (Span::millis(2000), Span::millis(400));
+//! let mut chooser = Chooser::new(7, vec![offering], 4, pause, grace, None, warm_up);
+//! let server = Listed {
+//!     server: "192.0.2.1:80".into(),
+//!     zone: "a".into(),
+//!     cell: 0,
+//!     started: None,
+//!     standing: Standing::Active,
+//! };
+//! chooser.start(&[server], now, &mut host);
+//! let arrival = Arrival {
+//!     circuit: CircuitId(1),
+//!     offering: Some(0),
+//!     key: Some("lift-12"),
+//!     group: None,
+//!     patience_ends: now + Span::millis(3000),
+//!     mid_flow: false,
+//! };
+//! chooser.arrived(&arrival, now, &mut host);
+//! assert_eq!(host.0, ["circuit 1 to 192.0.2.1:80"]);
+//! ```
+
+pub mod choice;
+pub mod host;
+pub mod time;
