Gather returned circuits by their group's hash and relieve late servers

Cause: a group pays its cost at every server that holds any of it; the client hash scatters groups, servers strain from the start, break connections, and the same hash brings them back. What comes back or finds its pick distrusted now goes by its group's hash, and late servers send guests away.

--- a/crates/adapter/src/birth.rs
+++ b/crates/adapter/src/birth.rs
@@ -8,8 +8,6 @@
 
 #[derive(Deserialize)]
 struct Env {
-    #[serde(default = "one")]
-    balancers: usize,
     discovery: Discovery,
     offerings: Vec<Class>,
     bounds: Bounds,
@@ -18,10 +16,6 @@
     extra: Extra,
 }
 
-fn one() -> usize {
-    1
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Discovery {
@@ -71,7 +65,6 @@
     #[serde(default)]
     cold_ms: f64,
     overload_factor: f64,
-    overload_for_ms: f64,
     #[serde(default)]
     must_ask_in_ms: f64,
     stop_sending_within_ms: f64,
@@ -87,13 +80,11 @@
 pub fn parse(seed: u64, text: &str) -> Result<(Chooser, Vec<String>)> {
     let env: Env = serde_json::from_str(text).context("env")?;
     let Env { offerings, invariants, bounds, extra, .. } = env;
-    let warm_up = WarmUp::new(
-        env.balancers,
-        invariants.cold_from,
-        Span::from_ms(invariants.cold_ms),
-        invariants.overload_factor,
-        Span::from_ms(invariants.overload_for_ms),
-    );
+    let warm_up = WarmUp {
+        cold_from: invariants.cold_from,
+        cold_span: Span::from_ms(invariants.cold_ms),
+        fall_multiple: invariants.overload_factor,
+    };
     let must_ask_in = match env.discovery {
         Discovery::Automatic => None,
         Discovery::Subscribe => Some(Span::from_ms(invariants.must_ask_in_ms)),
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -142,13 +142,15 @@
             "PREEXISTING" => chooser.open_already(&arrival(line, offerings)?, line.required("server")?, now),
             "FLOWING" => chooser.stands(line.circuit()?, now),
             "FINISHED" => chooser.ended(line.circuit()?, ending(line)?, line.flag("last")?, now, host),
-            "HEARTBEAT" if line.whole("what")? == 2 => {
-                chooser.messages_take(line.circuit()?, line.span("value")?, now);
-            }
+            "HEARTBEAT" => match line.whole("what")? {
+                1 => chooser.load_is(line.circuit()?, line.number("value")?),
+                2 => chooser.messages_take(line.circuit()?, line.span("value")?, now, host),
+                // A kind of note that is not known tells nothing.
+                _ => {}
+            },
             "HANGUP" => chooser.left(line.circuit()?),
             "FIRED" => chooser.woke(line.whole("label")?, now, host),
             // Nothing is decided by these yet, but a malformed one is still a fault.
-            "HEARTBEAT" => drop(line.circuit()?),
             "MESSAGE" => drop(line.whole("from")?),
             "STATUS_BACK" => drop(line.required("server")?),
             name => bail!("{name} is no message of this wire"),
@@ -198,6 +200,7 @@
         group: line.optional("group"),
         patience_ends: line.point("due_ms")?,
         mid_flow: line.flag("stray")?,
+        returned: line.flag("returned")?,
     })
 }
 
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -40,7 +40,7 @@
         self.optional(name).filter(|v| !v.is_empty()).with_context(|| format!("{} lacks {name}", self.name))
     }
 
-    fn number<T: FromStr>(&self, name: &str) -> Result<T> {
+    pub fn number<T: FromStr>(&self, name: &str) -> Result<T> {
         let value = self.required(name)?;
         value.parse().ok().with_context(|| format!("{name}={value} is not a number that fits"))
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: build a [`Chooser`] from its parts, call [`Chooser::start`] once with the list last held, then
-//! one method for each thing that happens. Every method takes the present [`Point`] and the [`Host`] whose methods
-//! carry out what was decided; that interface, with all types shared with the caller, is in `host.rs`.
+//! How to call it: make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for each thing
+//! that happens. Methods take the present [`Point`], and the [`Host`] that at once carries out what is decided; that
+//! interface and the types shared with the caller are in `host.rs`.
 //!
 //! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
 //! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
@@ -11,9 +11,11 @@
 //! 1. kept slots: a departed server keeps its place in the order for a while;
 //! 2. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 3. distrust: a fading score from failures and late messages, with the traffic following it;
-//! 4. silence: a connect is given up, and its server passed over, when the silence has become unusual.
+//! 4. silence: a connect is given up, and its server passed over, when the silence has become unusual;
+//! 5. gathering: what comes back, or finds its pick distrusted, goes by its group's hash in place of its own;
+//! 6. relief: a server whose messages are late has connections sent away that are not with their group.
 //!
-//! A circuit passes the stages `Reception`, `Recall`, `Placement`, `Dispatch`; what comes back passes them in reverse.
+//! A circuit passes the stages `Reception`, `Recall`, `Placement` and `Dispatch`; news of it come back in reverse.
 
 use crate::host::{Arrival, Circle, CircuitId, Effect, Ending, Host, Listed, Offering, ServerId, Standing};
 use crate::time::{Point, Span};
@@ -24,6 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A server as this proxy knows it.
+#[derive(Default)]
 struct Server {
     id: ServerId,
     zone: String,
@@ -32,17 +35,17 @@
     /// When this proxy was first told that it drains or is gone.
     leaving_since: Cell<Option<Point>>,
     started: Cell<Option<Point>>,
-    /// Connections placed by this proxy: connecting and standing.
-    open: Cell<u32>,
-    distrust: Cell<f64>,
-    distrust_at: Cell<Point>,
-    budget: Cell<f64>,
-    budget_at: Cell<Point>,
-    /// The last few times that a connect took to stand.
-    gaps: RefCell<VecDeque<Span>>,
+    /// The connections that this proxy placed and that stand.
+    held: RefCell<BTreeMap<CircuitId, Weak<Circuit>>>,
     /// Connects that wait for a word from the server, and since when it has sent none.
     waiting: Cell<u32>,
     silent_since: Cell<Option<Point>>,
+    /// The last few times that a connect took to stand.
+    gaps: RefCell<VecDeque<Span>>,
+    /// The score of distrust as it was at a moment.
+    distrust: Cell<(f64, Point)>,
+    /// What is left of a cold server's budget, in connects, as it was at a moment.
+    budget: Cell<(f64, Point)>,
 }
 
 /// One connect of a circuit.
@@ -55,13 +58,18 @@
 /// A circuit from its arrival to its final answer or, once it stands, to its end.
 struct Circuit {
     id: CircuitId,
+    /// Hashes of the client key and of the group.
     key: u64,
+    group: Option<u64>,
     effect: Effect,
     message_limit: Option<Span>,
     patience_ends: Point,
     mid_flow: bool,
+    returned: bool,
     stands: Cell<bool>,
     answered: Cell<bool>,
+    /// Work a second that its connection asks for, once the server has told.
+    load: Cell<f64>,
     /// The server that the stages have settled on for the next connect.
     pick: RefCell<Option<Rc<Server>>>,
     connects: RefCell<Vec<Connect>>,
@@ -105,8 +113,7 @@
     }
 }
 
-/// What a stage did with a circuit: passed it on, kept it for later, or ended it.
-#[derive(PartialEq)]
+/// What a stage did with a circuit: passed it on, kept it, or ended it.
 enum Step {
     Pass,
     Keep,
@@ -116,7 +123,7 @@
 trait Stage {
     fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) -> Step;
     /// The news of the circuit's last connect: none when its connection stands, else how it ended.
-    fn back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point);
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point);
 }
 
 /// The id-sorted list, shared by the stages.
@@ -133,24 +140,9 @@
 
     fn follow(&self, lines: &[Listed], whole: bool, now: Point) {
         for line in lines {
-            let known = self.find(&line.server);
-            let server = known.unwrap_or_else(|| {
-                let server = Rc::new(Server {
-                    id: line.server.clone(),
-                    zone: line.zone.clone(),
-                    cell: line.cell,
-                    standing: Cell::new(line.standing),
-                    leaving_since: Cell::new(None),
-                    started: Cell::new(None),
-                    open: Cell::new(0),
-                    distrust: Cell::new(0.0),
-                    distrust_at: Cell::new(now),
-                    budget: Cell::new(0.0),
-                    budget_at: Cell::new(now),
-                    gaps: RefCell::default(),
-                    waiting: Cell::new(0),
-                    silent_since: Cell::new(None),
-                });
+            let server = self.find(&line.server).unwrap_or_else(|| {
+                let (id, zone) = (line.server.clone(), line.zone.clone());
+                let server = Rc::new(Server { id, zone, cell: line.cell, ..Server::default() });
                 let mut servers = self.servers.borrow_mut();
                 let place = servers.partition_point(|s| s.id < server.id);
                 servers.insert(place, server.clone());
@@ -158,22 +150,21 @@
             });
             if line.started > server.started.get() {
                 server.started.set(line.started);
-                server.distrust.set(0.0);
-                server.silent_since.set(None);
+                server.distrust.set((0.0, now));
+                server.budget.set((0.0, now));
             }
             server.stand(line.standing, now);
         }
+        let mut servers = self.servers.borrow_mut();
         if whole {
-            let servers = self.servers.borrow();
             let absent = |s: &&Rc<Server>| !lines.iter().any(|l| l.server == s.id);
             servers.iter().filter(absent).for_each(|s| s.stand(Standing::Gone, now));
         }
-        // Guards against a whole remapping at each departure: the slot stays, and its circuits pass to the next.
-        // Chosen as the table's own time-out, so that table and order forget a server together.
-        const SLOT_KEPT: Span = TABLE_TIME_OUT;
-        self.servers.borrow_mut().retain(|s| {
-            s.standing.get() != Standing::Gone
-                || s.leaving_since.get().is_some_and(|left| now.since(left) < SLOT_KEPT)
+        // Guards against a whole remapping at each departure: the slot stays and its circuits pass to the next,
+        // for as long as the table remembers, so that order and table forget a server together.
+        servers.retain(|s| {
+            let left = s.leaving_since.get().unwrap_or(now);
+            s.standing.get() != Standing::Gone || now.since(left) < TABLE_TIME_OUT
         });
     }
 }
@@ -185,39 +176,41 @@
         self.leaving_since.set(leaving.then(|| self.leaving_since.get().unwrap_or(now)));
     }
 
+    /// Connections that this proxy has here, standing or under way.
+    fn open(&self) -> f64 {
+        self.held.borrow().len() as f64 + f64::from(self.waiting.get())
+    }
+
     /// The score of distrust now, from 0 to 1.
     fn distrust(&self, now: Point) -> f64 {
-        // Long enough to bridge the second between two notes of late messages, short against a connection's life.
+        // Bridges the second between two notes of late messages, and is short against a connection's life.
         const HALF_LIFE: Span = Span::millis(3000);
-        self.distrust.get() * 0.5_f64.powf(now.since(self.distrust_at.get()).over(HALF_LIFE))
+        let (score, at) = self.distrust.get();
+        score * 0.5_f64.powf(now.since(at).over(HALF_LIFE))
     }
 
     fn distrust_more(&self, by: f64, now: Point) {
-        self.distrust.set(1.0 - (1.0 - self.distrust(now)) * (1.0 - by));
-        self.distrust_at.set(now);
+        self.distrust.set((1.0 - (1.0 - self.distrust(now)) * (1.0 - by), now));
     }
 
     /// The wait after which a connect's silence is unusual, given the earlier gaps.
     fn unusual_after(&self) -> Option<Span> {
-        // Fewer say too little of the spread.
+        // Fewer say too little of what is usual.
         const FEWEST: usize = 5;
-        // An exponential tail above the mean: 10^-4 of silences as long happen by chance.
+        // With an exponential tail, one silence in 10^4 lasts as long by chance.
         const PHI: f64 = 4.0;
         let gaps = self.gaps.borrow();
-        if gaps.len() < FEWEST {
-            return None;
-        }
-        let mean = gaps.iter().map(|g| g.as_ms()).sum::<f64>() / gaps.len() as f64;
-        Some(Span::from_ms(mean * PHI * std::f64::consts::LN_10))
+        let mean = gaps.iter().map(|g| g.as_ms()).sum::<f64>() / gaps.len().max(1) as f64;
+        (gaps.len() >= FEWEST).then(|| Span::from_ms(mean * PHI * std::f64::consts::LN_10))
     }
 
     fn unusually_silent(&self, now: Point) -> bool {
-        let Some(since) = self.silent_since.get() else { return false };
-        self.unusual_after().is_some_and(|limit| now.since(since) > limit)
+        let unusual = |since| self.unusual_after().is_some_and(|limit| now.since(since) > limit);
+        self.silent_since.get().is_some_and(unusual)
     }
 }
 
-/// First stage: whether the circuit may have a connect at all. On the way back it closes the books of the connect.
+/// First stage: whether the circuit may have a connect at all.
 struct Reception {
     most_connects: usize,
 }
@@ -232,8 +225,8 @@
         Step::Pass
     }
 
-    fn back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, _: Point) {
-        circuit.stands.set(ending.is_none());
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
+        circuit.stands.set(connect.ending.is_none());
     }
 }
 
@@ -243,174 +236,146 @@
 /// Second stage: the bounded, aged table that answers mid-flow circuits.
 struct Recall {
     drain_grace: Span,
-    table: BTreeMap<u64, Weak<Server>>,
+    /// By client key: the server, and how many connections of the key stand or have yet to age.
+    table: BTreeMap<u64, (Weak<Server>, u32)>,
     /// Ends of connections, oldest first, with their keys.
     aging: VecDeque<(Point, u64)>,
-    /// How many connections of a key stand or have yet to age.
-    uses: BTreeMap<u64, u32>,
 }
 
 impl Recall {
-    fn new(drain_grace: Span) -> Self {
-        Recall { drain_grace, table: BTreeMap::new(), aging: VecDeque::new(), uses: BTreeMap::new() }
-    }
-
     fn forget_aged(&mut self, now: Point) {
+        // Bounds the memory to some megabytes.
+        const MOST_KEYS: usize = 100_000;
         while let Some(&(ended, key)) = self.aging.front() {
-            // Bounds the memory; far more connections than a proxy of these deployments sees in the time-out.
-            const MOST_KEYS: usize = 100_000;
             if now.since(ended) < TABLE_TIME_OUT && self.table.len() <= MOST_KEYS {
                 break;
             }
             self.aging.pop_front();
-            let uses = self.uses.entry(key).or_insert(1);
-            *uses -= 1;
-            if *uses == 0 {
-                self.uses.remove(&key);
-                self.table.remove(&key);
+            if let Some((_, uses)) = self.table.get_mut(&key) {
+                *uses -= 1;
+                if *uses == 0 {
+                    self.table.remove(&key);
+                }
             }
         }
     }
-
-    fn remember(&mut self, key: u64, server: &Rc<Server>) {
-        self.table.insert(key, Rc::downgrade(server));
-        *self.uses.entry(key).or_insert(0) += 1;
-    }
 }
 
 impl Stage for Recall {
     fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, _: &mut dyn Host) -> Step {
         self.forget_aged(now);
         if circuit.mid_flow && circuit.connects.borrow().is_empty() {
-            let server = self.table.get(&circuit.key).and_then(Weak::upgrade);
+            let server = self.table.get(&circuit.key).and_then(|(server, _)| server.upgrade());
             // Guards against resetting a connection that its draining server would still serve: it goes on there
-            // while the grace lasts, with half of it left for what is on the way.
-            let held = server.filter(|s| match s.leaving_since.get() {
-                None => true,
-                Some(told) => {
-                    s.standing.get() == Standing::Draining && now.since(told) < self.drain_grace.times(0.5)
-                }
+            // in the first half of the grace, the rest being left for what is on the way.
+            let held = server.filter(|s| {
+                let told = s.leaving_since.get();
+                s.standing.get() != Standing::Gone
+                    && told.is_none_or(|told| now.since(told) < self.drain_grace.times(0.5))
             });
             *circuit.pick.borrow_mut() = held;
         }
         Step::Pass
     }
 
-    fn back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
-        match ending {
-            None => {
-                let connects = circuit.connects.borrow();
-                self.remember(circuit.key, &connects[connects.len() - 1].server);
-            }
-            Some(_) if circuit.stands.get() => self.aging.push_back((now, circuit.key)),
-            Some(_) => {}
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
+        if connect.ending.is_none() {
+            let entry = self.table.entry(circuit.key).or_default();
+            *entry = (Rc::downgrade(&connect.server), entry.1 + 1);
+        } else if circuit.stands.get() {
+            self.aging.push_back((now, circuit.key));
         }
     }
 }
 
 /// Keeps this proxy's share of what a starting server can bear.
 pub struct WarmUp {
-    proxies: f64,
-    cold_from: f64,
-    cold_span: Span,
-    fall_multiple: f64,
-    fall_span: Span,
-    /// When this proxy's last connects were sent.
-    sent: VecDeque<Point>,
+    pub cold_from: f64,
+    pub cold_span: Span,
+    pub fall_multiple: f64,
 }
 
 impl WarmUp {
-    pub fn new(proxies: usize, cold_from: f64, cold_span: Span, fall_multiple: f64, fall_span: Span) -> Self {
-        let proxies = proxies.max(1) as f64;
-        WarmUp { proxies, cold_from, cold_span, fall_multiple, fall_span, sent: VecDeque::new() }
-    }
-
-    fn count(&mut self, server: &Server, now: Point) {
-        // Enough for a steady rate, few enough to follow a busy hour.
-        const SAMPLES: usize = 64;
-        self.sent.push_back(now);
-        if self.sent.len() > SAMPLES {
-            self.sent.pop_front();
-        }
-        server.budget.set(server.budget.get() - 1.0);
-    }
-
     fn is_cold(&self, server: &Server, now: Point) -> bool {
         server.started.get().is_some_and(|at| now.since(at) < self.cold_span)
     }
 
-    /// Guards against pushing a cold server over. What warm servers get from this proxy stands for what they
-    /// can take, so the budget errs on the safe side, and no agreement with other proxies is needed.
-    fn admits(&self, server: &Server, warm: usize, now: Point) -> bool {
+    /// Guards against pushing a cold server over. What a warm server holds of this proxy's connections stands for
+    /// this proxy's share of what it can hold, so no agreement with the others is needed.
+    fn admits(&self, server: &Server, warm_holds: f64, now: Point) -> bool {
         if !self.is_cold(server, now) {
             return true;
         }
-        // Half of the bound is left for chance, as the other proxies may all be sending now.
+        // The rate that upkeep of that many connections needs, if they lived as long as the table remembers.
+        let usual = warm_holds / TABLE_TIME_OUT.as_ms();
+        // Half of the bound is left for chance.
         const USED: f64 = 0.5;
-        let Some(&first) = self.sent.front() else { return true };
         let age = now.since(server.started.get().unwrap_or(now)).over(self.cold_span);
         let present = self.cold_from + (1.0 - self.cold_from) * age;
-        let second = Span::millis(1000);
-        let usual = self.sent.len() as f64 / now.since(first).over(second).max(1.0) / warm.max(1) as f64;
-        let rate = USED * self.fall_multiple * present * usual;
-        // A proxy's whole burst may be one connect, or its part of what the window allows.
-        let most = (rate * self.fall_span.over(second) / self.proxies).max(1.0);
-        let gained = rate * now.since(server.budget_at.get()).over(second);
-        server.budget.set((server.budget.get() + gained).clamp(-1.0, most));
-        server.budget_at.set(now);
-        server.budget.get() >= 1.0
+        let (left, at) = server.budget.get();
+        let gained = now.since(at).as_ms() * usual * USED * self.fall_multiple * present;
+        // Never saves up for more than one connect.
+        let left = (left + gained).min(1.0);
+        server.budget.set((left, now));
+        left >= 1.0
     }
 }
 
 /// Third stage: the design's choice of a server, with the load skip.
 struct Placement {
     shelf: Rc<Shelf>,
-    warm_up: Rc<RefCell<WarmUp>>,
+    warm_up: WarmUp,
     chance: Rc<RefCell<WyRand>>,
 }
 
 impl Placement {
     fn choose(&self, circuit: &Circuit, now: Point) -> Option<Rc<Server>> {
-        // The design page's figures: at least twice the mean, and three more than it.
+        // The design page's figures: over twice the mean, and at least three more than it.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
         let servers = self.shelf.servers.borrow();
         let active = |s: &&Rc<Server>| s.standing.get() == Standing::Active;
-        let (mut open, mut listed, mut warm) = (0, 0, 0);
+        let (mut open, mut listed) = (0.0, 0.0);
         for server in servers.iter().filter(active) {
-            open += server.open.get();
-            listed += 1;
-            warm += usize::from(!self.warm_up.borrow().is_cold(server, now));
+            open += server.open();
+            listed += 1.0;
         }
-        let mean = f64::from(open) / f64::from(listed.max(1));
-        let overfull = |s: &Server| {
-            let open = f64::from(s.open.get());
-            open > SKIP_FACTOR * mean && open >= mean + SKIP_MARGIN
+        let mean = open / f64::max(listed, 1.0);
+        let overfull = |s: &Server| s.open() > SKIP_FACTOR * mean && s.open() >= mean + SKIP_MARGIN;
+        let from = |hash: u64| {
+            let first = hash as usize % servers.len().max(1);
+            servers[first..].iter().chain(&servers[..first]).filter(active)
         };
-        let first = circuit.key as usize % servers.len().max(1);
-        let order = || servers[first..].iter().chain(&servers[..first]).filter(active);
         let usable = |s: &&Rc<Server>| {
-            circuit.may_go_to(s, now) && !circuit.tried(s) && self.warm_up.borrow().admits(s, warm, now)
+            circuit.may_go_to(s, now) && !circuit.tried(s) && self.warm_up.admits(s, mean, now)
         };
-        let mut least: Option<&Rc<Server>> = None;
-        for server in order().filter(usable) {
-            let distrust = if server.unusually_silent(now) { 1.0 } else { server.distrust(now) };
-            let trusted = f64::from(self.chance.borrow_mut().generate::<f32>()) >= distrust;
-            if trusted && !overfull(server) {
-                return Some(server.clone());
-            }
-            if least.is_none_or(|l| server.distrust(now) < l.distrust(now)) {
-                least = Some(server);
-            }
+        let doubt = |s: &Server| if s.unusually_silent(now) { 1.0 } else { s.distrust(now) };
+        let trusted = |s: &&Rc<Server>| f64::from(self.chance.borrow_mut().generate::<f32>()) >= doubt(s);
+        let fits = |s: &&Rc<Server>| usable(s) && !overfull(s) && trusted(s);
+
+        // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is overfull.
+        let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
+        let by_group = circuit.group.filter(|_| !circuit.mid_flow);
+        let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
+        if let Some(pick) = ordinary.filter(trusted) {
+            return Some(pick.clone());
+        }
+        // Guards against members of a group straining every server at once: what came back, or found its pick
+        // distrusted, meets its group at the server that the group's hash names at every proxy.
+        let order = || from(by_group.unwrap_or(circuit.key));
+        if let Some(pick) = order().find(fits) {
+            return Some(pick.clone());
         }
-        least.cloned()
+        let least = order().filter(usable).min_by(|a, b| doubt(a).total_cmp(&doubt(b)))?;
+        Some(least.clone())
     }
 }
 
 impl Stage for Placement {
     fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, _: &mut dyn Host) -> Step {
         if circuit.pick.borrow().is_none() {
-            *circuit.pick.borrow_mut() = self.choose(circuit, now);
+            let pick = self.choose(circuit, now);
+            *circuit.pick.borrow_mut() = pick;
         }
         if circuit.pick.borrow().is_some() {
             return Step::Pass;
@@ -418,22 +383,19 @@
         Step::End
     }
 
-    fn back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
-        let connects = circuit.connects.borrow();
-        let server = &connects[connects.len() - 1].server;
-        // How much one bad ending says of its server: a time-out or break nearly all, a full house less.
-        let by = match ending {
+    fn back(&mut self, _: &Rc<Circuit>, connect: &Connect, now: Point) {
+        // One bad ending takes half of the trust that is left, one that the server itself gave rather less.
+        let by = match connect.ending {
             Some(Ending::TimedOut | Ending::Unreachable | Ending::Broken) => 0.5,
             Some(Ending::Errored | Ending::TurnedAway) => 0.3,
             _ => 0.0,
         };
-        server.distrust_more(by, now);
+        connect.server.distrust_more(by, now);
     }
 }
 
 /// Last stage: sends the connect and measures what comes back.
 struct Dispatch {
-    warm_up: Rc<RefCell<WarmUp>>,
     most_connects: usize,
 }
 
@@ -450,36 +412,36 @@
             server.unusual_after().map_or(half, |unusual| unusual.max(left.times(0.25)).min(half))
         };
         host.connect(circuit.id, &server.id, time_out);
-        self.warm_up.borrow_mut().count(&server, now);
-        server.open.set(server.open.get() + 1);
+        let (budget, at) = server.budget.get();
+        server.budget.set((budget - 1.0, at));
         server.waiting.set(server.waiting.get() + 1);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
         Step::Keep
     }
 
-    fn back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
         // Enough for a mean, few enough to forget a bad minute.
         const SAMPLES: usize = 16;
-        let mut connects = circuit.connects.borrow_mut();
-        let Some(connect) = connects.last_mut() else { return };
         let server = &connect.server;
-        if ending.is_some() {
-            connect.ending = ending;
-            server.open.set(server.open.get().saturating_sub(1));
-        } else {
+        if circuit.stands.get() {
+            server.held.borrow_mut().remove(&circuit.id);
+            return;
+        }
+        server.waiting.set(server.waiting.get().saturating_sub(1));
+        let word = connect.ending != Some(Ending::TimedOut);
+        if word || server.waiting.get() == 0 {
+            server.silent_since.set((server.waiting.get() > 0).then_some(now));
+        }
+        if connect.ending.is_none() {
+            server.held.borrow_mut().insert(circuit.id, Rc::downgrade(circuit));
             let mut gaps = server.gaps.borrow_mut();
-            gaps.push_back(now.since(connect.sent));
+            // A connection that was open before this proxy started says nothing of the time it took.
+            gaps.extend(Some(now.since(connect.sent)).filter(|g| *g > Span::default()));
             if gaps.len() > SAMPLES {
                 gaps.pop_front();
             }
         }
-        if !circuit.stands.get() {
-            server.waiting.set(server.waiting.get().saturating_sub(1));
-        }
-        if ending != Some(Ending::TimedOut) || server.waiting.get() == 0 {
-            server.silent_since.set((server.waiting.get() > 0).then_some(now));
-        }
     }
 }
 
@@ -529,20 +491,15 @@
     ) -> Self {
         let chance = Rc::new(RefCell::new(WyRand::new_seed(seed)));
         let shelf = Rc::new(Shelf::default());
-        let warm_up = Rc::new(RefCell::new(warm_up));
         Chooser {
             offerings,
             most_pause,
             following: Following { must_ask_in, chance: chance.clone(), failures: 0 },
             stages: [
                 Box::new(Reception { most_connects }),
-                Box::new(Recall::new(drain_grace)),
-                Box::new(Placement {
-                    shelf: shelf.clone(),
-                    warm_up: warm_up.clone(),
-                    chance: chance.clone(),
-                }),
-                Box::new(Dispatch { warm_up, most_connects }),
+                Box::new(Recall { drain_grace, table: BTreeMap::new(), aging: VecDeque::new() }),
+                Box::new(Placement { shelf: shelf.clone(), warm_up, chance: chance.clone() }),
+                Box::new(Dispatch { most_connects }),
             ],
             shelf,
             chance,
@@ -578,10 +535,8 @@
 
     /// A connection that was already open when this proxy started; connect 0 counts as made.
     pub fn open_already(&mut self, arrival: &Arrival, server: &str, now: Point) {
-        let circuit = self.enter(arrival);
         let Some(server) = self.shelf.find(server) else { return };
-        server.open.set(server.open.get() + 1);
-        server.waiting.set(server.waiting.get() + 1);
+        let circuit = self.enter(arrival);
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
         self.bring_back(&circuit, None, now);
     }
@@ -612,15 +567,42 @@
         }
     }
 
+    /// The load of a standing connection, in work a second.
+    pub fn load_is(&mut self, circuit: CircuitId, load: f64) {
+        if let Some(circuit) = self.circuits.get(&circuit) {
+            circuit.load.set(load);
+        }
+    }
+
     /// Messages of a standing connection take this long at its server.
-    pub fn messages_take(&mut self, circuit: CircuitId, delay: Span, now: Point) {
+    pub fn messages_take(&mut self, circuit: CircuitId, delay: Span, now: Point, host: &mut dyn Host) {
         let Some(circuit) = self.circuits.get(&circuit) else { return };
         let connects = circuit.connects.borrow();
         let (Some(connect), Some(limit)) = (connects.last(), circuit.message_limit) else { return };
-        // Half the limit is no cause for distrust; at the limit nothing more should come.
-        let late = (delay.over(limit) * 2.0 - 1.0).clamp(0.0, 1.0);
-        let more = (late - connect.server.distrust(now)).max(0.0);
-        connect.server.distrust_more(more, now);
+        // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
+        let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
+        let server = &connect.server;
+        let score = late.max(server.distrust(now));
+        server.distrust.set((score, now));
+        if late > 0.5 {
+            self.relieve(server, host);
+        }
+    }
+
+    /// Guards against a strained server keeping its share: sends away the heaviest connection that is not where
+    /// its group's hash would have it.
+    fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
+        let servers = self.shelf.servers.borrow();
+        let held = server.held.borrow();
+        let away = |c: &Rc<Circuit>| {
+            c.group.is_some_and(|g| !Rc::ptr_eq(&servers[g as usize % servers.len()], server))
+                && !c.answered.get()
+        };
+        let guests = held.values().filter_map(Weak::upgrade).filter(away);
+        if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
+            heaviest.answered.set(true);
+            host.send_away(heaviest.id);
+        }
     }
 
     /// The client has left; nothing more may be sent for the circuit.
@@ -638,12 +620,15 @@
         let circuit = Rc::new(Circuit {
             id: arrival.circuit,
             key: arrival.key.map_or(arrival.circuit.0, |k| xxh3_64(k.as_bytes())),
+            group: arrival.group.map(|g| xxh3_64(g.as_bytes())),
             effect: offering.map_or(Effect::SingleUse, |o| o.effect),
             message_limit: offering.and_then(|o| o.message_limit),
             patience_ends: arrival.patience_ends,
             mid_flow: arrival.mid_flow,
+            returned: arrival.returned,
             stands: Cell::new(false),
             answered: Cell::new(false),
+            load: Cell::new(0.0),
             pick: RefCell::default(),
             connects: RefCell::default(),
         });
@@ -670,8 +655,11 @@
     }
 
     fn bring_back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
+        let mut connects = circuit.connects.borrow_mut();
+        let Some(connect) = connects.last_mut() else { return };
+        connect.ending = ending;
         for stage in self.stages.iter_mut().rev() {
-            stage.back(circuit, ending, now);
+            stage.back(circuit, connect, now);
         }
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -65,10 +65,13 @@
     pub patience_ends: Point,
     /// Packets of a connection that some server already holds.
     pub mid_flow: bool,
+    /// The client has come back after a break or after being sent away.
+    pub returned: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Active,
     Draining,
     Gone,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,7 @@
 //!
 //! let now = Point::from_ms(1000.0);
 //! let mut host = Printer(Vec::new());
-//! let warm_up = WarmUp::new(1, 0.3, Span::millis(8000), 3.0, Span::millis(1000));
+//! let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0 };
 //! let offering = Offering { effect: Effect::Replayable, message_limit: None };
 //! let (pause, grace) = (Span::millis(2000), Span::millis(400));
 //! let mut chooser = Chooser::new(7, vec![offering], 4, pause, grace, None, warm_up);
@@ -41,6 +41,7 @@
 //!     group: None,
 //!     patience_ends: now + Span::millis(3000),
 //!     mid_flow: false,
+//!     returned: false,
 //! };
 //! chooser.arrived(&arrival, now, &mut host);
 //! assert_eq!(host.0, ["circuit 1 to 192.0.2.1:80"]);
