Pace connects in a shared jam, draw once a circuit, let distrust fade in six seconds

Causes: (1) a mass reconnect fills the shared session store, connects time out or err at every server and each is tried again at once, so the jam feeds itself: connects now wait in line for a turn while several servers fail. (2) With one draw a server, an order of distrusted servers let nearly everything in: one draw for the whole order.

--- a/crates/adapter/src/birth.rs
+++ b/crates/adapter/src/birth.rs
@@ -1,4 +1,4 @@
-//! An instance's first message: reads what the decisions need and builds them from it. Unknown keys are ignored.
+//! An instance's first message: reads what the decisions need and builds them. Unknown keys are ignored.
 
 use anyhow::{Context, Result};
 use serde::Deserialize;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,27 +1,28 @@
 //! All decisions of the balancer.
 //!
-//! How to call it: make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for each thing
-//! that happens. Methods take the present [`Point`], and the [`Host`] that at once carries out what is decided; that
-//! interface and the types shared with the caller are in `host.rs`.
+//! How to call it: make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for
+//! each thing that happens. Methods take the present [`Point`], and the [`Host`] that at once carries out
+//! what is decided; that interface and the types shared with the caller are in `host.rs`.
 //!
 //! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
 //! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
 //!
 //! Mechanisms beside the design, six at most:
-//! 1. kept slots: a departed server keeps its place in the order for a while;
-//! 2. warm-up budget: a server that just started gets only its share of what it can bear;
-//! 3. distrust: a fading score from failures and late messages, with the traffic following it;
-//! 4. silence: a connect is given up, and its server passed over, when the silence has become unusual;
-//! 5. gathering: what comes back, or finds its pick distrusted, goes by its group's hash in place of its own;
-//! 6. relief: a server whose messages are late has connections sent away that are not with their group.
+//! 1. warm-up budget: a server that just started gets only its share of what it can bear;
+//! 2. distrust: a fading score from failures and late messages, with the traffic following it;
+//! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
+//! 4. gathering: what comes back, or finds its pick distrusted, goes by its group's hash in place of its own;
+//! 5. relief: a server whose messages are late has connections sent away that are not with their group;
+//! 6. pacing: where connects fail at several servers at once, circuits wait in line for a turn.
 //!
-//! A circuit passes the stages `Reception`, `Recall`, `Placement` and `Dispatch`; news of it come back in reverse.
+//! A circuit passes the stages `Reception`, `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its
+//! connects pass them in reverse.
 
 use crate::host::{Arrival, Circle, CircuitId, Effect, Ending, Host, Listed, Offering, ServerId, Standing};
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::{Rc, Weak};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -62,7 +63,6 @@
     key: u64,
     group: Option<u64>,
     effect: Effect,
-    message_limit: Option<Span>,
     patience_ends: Point,
     mid_flow: bool,
     returned: bool,
@@ -70,16 +70,10 @@
     answered: Cell<bool>,
     /// Work a second that its connection asks for, once the server has told.
     load: Cell<f64>,
-    /// The server that the stages have settled on for the next connect.
-    pick: RefCell<Option<Rc<Server>>>,
     connects: RefCell<Vec<Connect>>,
 }
 
 impl Circuit {
-    fn tried(&self, server: &Rc<Server>) -> bool {
-        self.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, server))
-    }
-
     /// The first connect that may have run, which binds all that follows.
     fn may_have_run(&self) -> Option<(Rc<Server>, Point)> {
         let connects = self.connects.borrow();
@@ -97,7 +91,7 @@
                 let known_there = match among {
                     Circle::All => true,
                     Circle::Zone => first.zone == server.zone,
-                    Circle::Cell => first.zone == server.zone && first.cell == server.cell,
+                    Circle::Cell => first.cell == server.cell,
                 };
                 known_there && now.since(sent) < window
             }
@@ -120,21 +114,22 @@
     End,
 }
 
+/// The server that the stages have settled on for the next connect.
+type Pick = Option<Rc<Server>>;
+
 trait Stage {
-    fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) -> Step;
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, host: &mut dyn Host) -> Step;
     /// The news of the circuit's last connect: none when its connection stands, else how it ended.
-    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point);
+    fn back(&mut self, _circuit: &Rc<Circuit>, _connect: &Connect, _now: Point) {}
 }
 
 /// The id-sorted list, shared by the stages.
 #[derive(Default)]
-struct Shelf {
-    servers: RefCell<Vec<Rc<Server>>>,
-}
+struct Shelf(RefCell<Vec<Rc<Server>>>);
 
 impl Shelf {
     fn find(&self, id: &str) -> Option<Rc<Server>> {
-        let servers = self.servers.borrow();
+        let servers = self.0.borrow();
         servers.binary_search_by(|s| s.id.as_ref().cmp(id)).ok().map(|i| servers[i].clone())
     }
 
@@ -143,7 +138,7 @@
             let server = self.find(&line.server).unwrap_or_else(|| {
                 let (id, zone) = (line.server.clone(), line.zone.clone());
                 let server = Rc::new(Server { id, zone, cell: line.cell, ..Server::default() });
-                let mut servers = self.servers.borrow_mut();
+                let mut servers = self.0.borrow_mut();
                 let place = servers.partition_point(|s| s.id < server.id);
                 servers.insert(place, server.clone());
                 server
@@ -155,17 +150,12 @@
             }
             server.stand(line.standing, now);
         }
-        let mut servers = self.servers.borrow_mut();
+        let mut servers = self.0.borrow_mut();
         if whole {
             let absent = |s: &&Rc<Server>| !lines.iter().any(|l| l.server == s.id);
             servers.iter().filter(absent).for_each(|s| s.stand(Standing::Gone, now));
         }
-        // Guards against a whole remapping at each departure: the slot stays and its circuits pass to the next,
-        // for as long as the table remembers, so that order and table forget a server together.
-        servers.retain(|s| {
-            let left = s.leaving_since.get().unwrap_or(now);
-            s.standing.get() != Standing::Gone || now.since(left) < TABLE_TIME_OUT
-        });
+        servers.retain(|s| s.standing.get() != Standing::Gone);
     }
 }
 
@@ -183,8 +173,9 @@
 
     /// The score of distrust now, from 0 to 1.
     fn distrust(&self, now: Point) -> f64 {
-        // Bridges the second between two notes of late messages, and is short against a connection's life.
-        const HALF_LIFE: Span = Span::millis(3000);
+        // Bridges the second between two notes and the pile-up that a server has yet to work off, and is
+        // short against a connection's life.
+        const HALF_LIFE: Span = Span::millis(6000);
         let (score, at) = self.distrust.get();
         score * 0.5_f64.powf(now.since(at).over(HALF_LIFE))
     }
@@ -204,9 +195,13 @@
         (gaps.len() >= FEWEST).then(|| Span::from_ms(mean * PHI * std::f64::consts::LN_10))
     }
 
-    fn unusually_silent(&self, now: Point) -> bool {
-        let unusual = |since| self.unusual_after().is_some_and(|limit| now.since(since) > limit);
-        self.silent_since.get().is_some_and(unusual)
+    /// How little this server is to be trusted now: all the less while it is unusually silent.
+    fn doubt(&self, now: Point) -> f64 {
+        let silence = self.silent_since.get().map(|since| now.since(since));
+        if silence.is_some_and(|s| self.unusual_after().is_some_and(|limit| s > limit)) {
+            return 1.0;
+        }
+        self.distrust(now)
     }
 }
 
@@ -216,17 +211,13 @@
 }
 
 impl Stage for Reception {
-    fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, _: &mut dyn Host) -> Step {
-        let spent = circuit.connects.borrow().len() >= self.most_connects;
-        let bound = circuit.effect == Effect::SingleUse && circuit.may_have_run().is_some();
-        if spent || bound || now >= circuit.patience_ends {
-            return Step::End;
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
+        let spent = circuit.connects.borrow().len() >= self.most_connects || now >= circuit.patience_ends;
+        if spent {
+            Step::End
+        } else {
+            Step::Pass
         }
-        Step::Pass
-    }
-
-    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
-        circuit.stands.set(connect.ending.is_none());
     }
 }
 
@@ -236,54 +227,103 @@
 /// Second stage: the bounded, aged table that answers mid-flow circuits.
 struct Recall {
     drain_grace: Span,
-    /// By client key: the server, and how many connections of the key stand or have yet to age.
-    table: BTreeMap<u64, (Weak<Server>, u32)>,
-    /// Ends of connections, oldest first, with their keys.
-    aging: VecDeque<(Point, u64)>,
+    /// By client key: the server, and when the connection ended if it has.
+    table: BTreeMap<u64, (Weak<Server>, Option<Point>)>,
+    swept: Point,
 }
 
-impl Recall {
-    fn forget_aged(&mut self, now: Point) {
-        // Bounds the memory to some megabytes.
-        const MOST_KEYS: usize = 100_000;
-        while let Some(&(ended, key)) = self.aging.front() {
-            if now.since(ended) < TABLE_TIME_OUT && self.table.len() <= MOST_KEYS {
-                break;
-            }
-            self.aging.pop_front();
-            if let Some((_, uses)) = self.table.get_mut(&key) {
-                *uses -= 1;
-                if *uses == 0 {
-                    self.table.remove(&key);
-                }
-            }
-        }
-    }
+fn aged(ended: Option<Point>, now: Point) -> bool {
+    ended.is_some_and(|at| now.since(at) >= TABLE_TIME_OUT)
 }
 
 impl Stage for Recall {
-    fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, _: &mut dyn Host) -> Step {
-        self.forget_aged(now);
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
         if circuit.mid_flow && circuit.connects.borrow().is_empty() {
-            let server = self.table.get(&circuit.key).and_then(|(server, _)| server.upgrade());
-            // Guards against resetting a connection that its draining server would still serve: it goes on there
-            // in the first half of the grace, the rest being left for what is on the way.
-            let held = server.filter(|s| {
-                let told = s.leaving_since.get();
-                s.standing.get() != Standing::Gone
-                    && told.is_none_or(|told| now.since(told) < self.drain_grace.times(0.5))
-            });
-            *circuit.pick.borrow_mut() = held;
+            // Guards against resetting a connection that its draining server would still serve: it goes on
+            // there in the first half of the grace, the rest being left for what is on the way.
+            let still = |since| now.since(since) < self.drain_grace.times(0.5);
+            let holds =
+                |s: &Server| s.standing.get() != Standing::Gone && s.leaving_since.get().is_none_or(still);
+            let known = self.table.get(&circuit.key).filter(|(_, ended)| !aged(*ended, now));
+            *pick = known.and_then(|(server, _)| server.upgrade()).filter(|s| holds(s));
         }
         Step::Pass
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
-        if connect.ending.is_none() {
-            let entry = self.table.entry(circuit.key).or_default();
-            *entry = (Rc::downgrade(&connect.server), entry.1 + 1);
-        } else if circuit.stands.get() {
-            self.aging.push_back((now, circuit.key));
+        // Bounds the memory to some megabytes.
+        const MOST_KEYS: usize = 100_000;
+        if now.since(self.swept) > TABLE_TIME_OUT {
+            self.swept = now;
+            self.table.retain(|_, (_, ended)| !aged(*ended, now));
+        }
+        let ended = connect.ending.map(|_| now);
+        if (ended.is_none() || circuit.stands.get()) && self.table.len() < MOST_KEYS {
+            self.table.insert(circuit.key, (Rc::downgrade(&connect.server), ended));
+        }
+    }
+}
+
+/// Labels of what the host is asked to wake this proxy for.
+const LIST: u64 = 0;
+const LINE: u64 = 1;
+
+type Line = Rc<RefCell<VecDeque<Rc<Circuit>>>>;
+
+/// Third stage: keeps circuits in line while something that all servers share is jammed.
+struct Pacing {
+    line: Line,
+    /// The last connects: whether they stood, and where.
+    recent: VecDeque<(bool, ServerId)>,
+    bad_in_row: u32,
+    next: Point,
+}
+
+impl Pacing {
+    /// A bad server fails alone; a jam shows in most of the last connects, and at several servers.
+    fn jammed(&self) -> bool {
+        // More than chance brings together, even of a small list.
+        const SERVERS: usize = 3;
+        let bad: Vec<&ServerId> = self.recent.iter().filter(|(stood, _)| !stood).map(|(_, s)| s).collect();
+        bad.len() * 2 > self.recent.len() && bad.iter().collect::<BTreeSet<_>>().len() >= SERVERS
+    }
+}
+
+impl Stage for Pacing {
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, host: &mut dyn Host) -> Step {
+        // A usual connect's length, and how often the line is looked at: well under the shortest of
+        // patiences.
+        const TURN: Span = Span::millis(40);
+        if circuit.mid_flow || !self.jammed() {
+            return Step::Pass;
+        }
+        // Doubled with each failure in a row, up to about a second.
+        let pause = TURN.times(f64::from(1u32 << self.bad_in_row.min(5)));
+        if now >= self.next {
+            self.next = now + pause;
+            return Step::Pass;
+        }
+        // Guards against a storm of tries that keeps a jam alive: a circuit waits its turn, and where the
+        // line is too long for its patience it is pushed back at once.
+        let mut line = self.line.borrow_mut();
+        if pause.times(line.len() as f64 + 1.0) > circuit.patience_ends.since(now).times(0.5) {
+            return Step::End;
+        }
+        if line.is_empty() {
+            host.wake(now + TURN, LINE);
+        }
+        line.push_back(circuit.clone());
+        Step::Keep
+    }
+
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
+        // A few for each of a handful of servers.
+        const SAMPLES: usize = 12;
+        if !circuit.stands.get() && !circuit.mid_flow {
+            let stood = connect.ending.is_none();
+            self.bad_in_row = if stood { 0 } else { self.bad_in_row + 1 };
+            self.recent.push_back((stood, connect.server.id.clone()));
+            keep_last(SAMPLES, &mut self.recent);
         }
     }
 }
@@ -296,32 +336,27 @@
 }
 
 impl WarmUp {
-    fn is_cold(&self, server: &Server, now: Point) -> bool {
-        server.started.get().is_some_and(|at| now.since(at) < self.cold_span)
-    }
-
-    /// Guards against pushing a cold server over. What a warm server holds of this proxy's connections stands for
-    /// this proxy's share of what it can hold, so no agreement with the others is needed.
+    /// Guards against pushing a cold server over. What a warm server holds of this proxy's connections stands
+    /// for its share of what a server can hold, so that proxies need not agree.
     fn admits(&self, server: &Server, warm_holds: f64, now: Point) -> bool {
-        if !self.is_cold(server, now) {
+        let age = server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span));
+        if age >= 1.0 {
             return true;
         }
         // The rate that upkeep of that many connections needs, if they lived as long as the table remembers.
-        let usual = warm_holds / TABLE_TIME_OUT.as_ms();
+        let usual = warm_holds.max(1.0) / TABLE_TIME_OUT.as_ms();
         // Half of the bound is left for chance.
         const USED: f64 = 0.5;
-        let age = now.since(server.started.get().unwrap_or(now)).over(self.cold_span);
         let present = self.cold_from + (1.0 - self.cold_from) * age;
         let (left, at) = server.budget.get();
         let gained = now.since(at).as_ms() * usual * USED * self.fall_multiple * present;
         // Never saves up for more than one connect.
-        let left = (left + gained).min(1.0);
-        server.budget.set((left, now));
-        left >= 1.0
+        server.budget.set(((left + gained).min(1.0), now));
+        left + gained >= 1.0
     }
 }
 
-/// Third stage: the design's choice of a server, with the load skip.
+/// Fourth stage: the design's choice of a server, with the load skip.
 struct Placement {
     shelf: Rc<Shelf>,
     warm_up: WarmUp,
@@ -333,54 +368,44 @@
         // The design page's figures: over twice the mean, and at least three more than it.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
-        let servers = self.shelf.servers.borrow();
+        let servers = self.shelf.0.borrow();
         let active = |s: &&Rc<Server>| s.standing.get() == Standing::Active;
-        let (mut open, mut listed) = (0.0, 0.0);
-        for server in servers.iter().filter(active) {
-            open += server.open();
-            listed += 1.0;
-        }
-        let mean = open / f64::max(listed, 1.0);
+        let open: f64 = servers.iter().filter(active).map(|s| s.open()).sum();
+        let mean = open / servers.iter().filter(active).count().max(1) as f64;
         let overfull = |s: &Server| s.open() > SKIP_FACTOR * mean && s.open() >= mean + SKIP_MARGIN;
         let from = |hash: u64| {
             let first = hash as usize % servers.len().max(1);
             servers[first..].iter().chain(&servers[..first]).filter(active)
         };
         let usable = |s: &&Rc<Server>| {
-            circuit.may_go_to(s, now) && !circuit.tried(s) && self.warm_up.admits(s, mean, now)
+            circuit.may_go_to(s, now)
+                && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
+                && self.warm_up.admits(s, mean, now)
         };
-        let doubt = |s: &Server| if s.unusually_silent(now) { 1.0 } else { s.distrust(now) };
-        let trusted = |s: &&Rc<Server>| f64::from(self.chance.borrow_mut().generate::<f32>()) >= doubt(s);
-        let fits = |s: &&Rc<Server>| usable(s) && !overfull(s) && trusted(s);
+        // One draw for the whole order, or many distrusted servers together would let nearly everything in.
+        let draw = f64::from(self.chance.borrow_mut().generate::<f32>());
+        let trusted = |s: &&Rc<Server>| draw >= s.doubt(now);
 
-        // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is overfull.
+        // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is
+        // overfull.
         let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        if let Some(pick) = ordinary.filter(trusted) {
-            return Some(pick.clone());
+        if ordinary.filter(trusted).is_some() {
+            return ordinary.cloned();
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
-        // distrusted, meets its group at the server that the group's hash names at every proxy.
-        let order = || from(by_group.unwrap_or(circuit.key));
-        if let Some(pick) = order().find(fits) {
-            return Some(pick.clone());
-        }
-        let least = order().filter(usable).min_by(|a, b| doubt(a).total_cmp(&doubt(b)))?;
-        Some(least.clone())
+        // distrusted, meets its group at the server that the group's hash names at every proxy. Where no
+        // server is trusted enough the circuit is pushed back, so that an overload is not fed.
+        let order = || from(by_group.unwrap_or(circuit.key)).filter(usable).filter(trusted);
+        order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
 
 impl Stage for Placement {
-    fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, _: &mut dyn Host) -> Step {
-        if circuit.pick.borrow().is_none() {
-            let pick = self.choose(circuit, now);
-            *circuit.pick.borrow_mut() = pick;
-        }
-        if circuit.pick.borrow().is_some() {
-            return Step::Pass;
-        }
-        Step::End
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
+        *pick = pick.take().or_else(|| self.choose(circuit, now));
+        pick.as_ref().map_or(Step::End, |_| Step::Pass)
     }
 
     fn back(&mut self, _: &Rc<Circuit>, connect: &Connect, now: Point) {
@@ -400,16 +425,17 @@
 }
 
 impl Stage for Dispatch {
-    fn forth(&mut self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) -> Step {
-        let Some(server) = circuit.pick.borrow_mut().take() else { return Step::End };
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, host: &mut dyn Host) -> Step {
+        let Some(server) = pick.take() else { return Step::End };
         let left = circuit.patience_ends.since(now);
         let last = circuit.connects.borrow().len() + 1 >= self.most_connects;
-        // Guards against a patience spent on one silent server: half of what is left stays for another connect.
-        let time_out = if last || circuit.effect == Effect::SingleUse {
-            left
-        } else {
-            let half = left.times(0.5);
-            server.unusual_after().map_or(half, |unusual| unusual.max(left.times(0.25)).min(half))
+        // Guards against a patience spent on one silent server: half of what is left stays for another
+        // connect.
+        let half = left.times(0.5);
+        let time_out = match server.unusual_after() {
+            _ if last || circuit.effect == Effect::SingleUse => left,
+            Some(unusual) => unusual.max(left.times(0.25)).min(half),
+            None => half,
         };
         host.connect(circuit.id, &server.id, time_out);
         let (budget, at) = server.budget.get();
@@ -438,48 +464,35 @@
             let mut gaps = server.gaps.borrow_mut();
             // A connection that was open before this proxy started says nothing of the time it took.
             gaps.extend(Some(now.since(connect.sent)).filter(|g| *g > Span::default()));
-            if gaps.len() > SAMPLES {
-                gaps.pop_front();
-            }
+            keep_last(SAMPLES, &mut gaps);
         }
     }
 }
 
-/// How the server list reaches this proxy.
-struct Following {
-    /// Where the list must be asked for: how long a proxy may go without asking.
-    must_ask_in: Option<Span>,
-    chance: Rc<RefCell<WyRand>>,
-    failures: u32,
-}
-
-impl Following {
-    /// Guards against all proxies asking in step, after a start or a failed call.
-    fn ask_later(&mut self, now: Point, host: &mut dyn Host) {
-        // The first call waits under half a second; each failure doubles that.
-        const FIRST: Span = Span::millis(400);
-        let Some(must_ask_in) = self.must_ask_in else { return };
-        let jitter = f64::from(self.chance.borrow_mut().generate::<f32>());
-        let pause = FIRST.times(f64::from(1u32 << self.failures.min(8)) * (0.5 + 0.5 * jitter));
-        host.wake(now + pause.min(must_ask_in.times(0.4)), 0);
-    }
+fn keep_last<T>(most: usize, samples: &mut VecDeque<T>) {
+    samples.drain(..samples.len().saturating_sub(most));
 }
 
 /// The decisions of one proxy.
 pub struct Chooser {
     offerings: Vec<Offering>,
+    /// The most delicate offering's, as any may be held by a server.
+    message_limit: Option<Span>,
     most_pause: Span,
     shelf: Rc<Shelf>,
-    following: Following,
+    /// Where the list must be asked for: how long a proxy may go without asking.
+    must_ask_in: Option<Span>,
+    list_failures: u32,
     chance: Rc<RefCell<WyRand>>,
-    stages: [Box<dyn Stage>; 4],
+    line: Line,
+    stages: [Box<dyn Stage>; 5],
     /// The door: every circuit unanswered, standing or with a connect still out.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
 }
 
 impl Chooser {
-    /// `most_pause` is the longest wait that a client keeps to when asked; `must_ask_in` is none where the list
-    /// comes unasked.
+    /// `most_pause` is the longest wait that a client keeps to when asked; `must_ask_in` is none where the
+    /// list comes unasked.
     pub fn new(
         seed: u64,
         offerings: Vec<Offering>,
@@ -491,13 +504,20 @@
     ) -> Self {
         let chance = Rc::new(RefCell::new(WyRand::new_seed(seed)));
         let shelf = Rc::new(Shelf::default());
+        let line = Line::default();
+        let pacing =
+            Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
         Chooser {
+            line,
+            message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
             most_pause,
-            following: Following { must_ask_in, chance: chance.clone(), failures: 0 },
+            must_ask_in,
+            list_failures: 0,
             stages: [
                 Box::new(Reception { most_connects }),
-                Box::new(Recall { drain_grace, table: BTreeMap::new(), aging: VecDeque::new() }),
+                Box::new(Recall { drain_grace, table: BTreeMap::new(), swept: Point::default() }),
+                Box::new(pacing),
                 Box::new(Placement { shelf: shelf.clone(), warm_up, chance: chance.clone() }),
                 Box::new(Dispatch { most_connects }),
             ],
@@ -509,23 +529,27 @@
 
     pub fn start(&mut self, last_held: &[Listed], now: Point, host: &mut dyn Host) {
         self.shelf.follow(last_held, true, now);
-        self.following.ask_later(now, host);
+        self.ask_later(now, host);
     }
 
     /// Lines of the server list; a server absent from a `whole` list is gone.
     pub fn listed(&mut self, lines: &[Listed], whole: bool, now: Point) {
-        self.following.failures = 0;
+        self.list_failures = 0;
         self.shelf.follow(lines, whole, now);
     }
 
     /// A call for the list has failed, or the subscription has broken.
     pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
-        self.following.failures += 1;
-        self.following.ask_later(now, host);
+        self.list_failures += 1;
+        self.ask_later(now, host);
     }
 
-    pub fn woke(&mut self, _label: u64, _now: Point, host: &mut dyn Host) {
-        host.subscribe();
+    pub fn woke(&mut self, label: u64, now: Point, host: &mut dyn Host) {
+        if label == LIST {
+            return host.subscribe();
+        }
+        let line = self.line.take();
+        line.iter().filter(|c| !c.answered.get()).for_each(|c| self.offer(c, now, host));
     }
 
     pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
@@ -548,19 +572,12 @@
         }
     }
 
-    /// A connect has ended; `answered` where the client has its final answer by now.
-    pub fn ended(
-        &mut self,
-        circuit: CircuitId,
-        ending: Ending,
-        answered: bool,
-        now: Point,
-        host: &mut dyn Host,
-    ) {
+    /// A connect has ended; `done` where the client has its final answer by now.
+    pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool, now: Point, host: &mut dyn Host) {
         let Some(circuit) = self.circuits.get(&circuit).cloned() else { return };
         let stood = circuit.stands.get();
         self.bring_back(&circuit, Some(ending), now);
-        if answered || stood || circuit.answered.get() {
+        if done || stood || circuit.answered.get() {
             self.circuits.remove(&circuit.id);
         } else {
             self.offer(&circuit, now, host);
@@ -578,7 +595,7 @@
     pub fn messages_take(&mut self, circuit: CircuitId, delay: Span, now: Point, host: &mut dyn Host) {
         let Some(circuit) = self.circuits.get(&circuit) else { return };
         let connects = circuit.connects.borrow();
-        let (Some(connect), Some(limit)) = (connects.last(), circuit.message_limit) else { return };
+        let (Some(connect), Some(limit)) = (connects.last(), self.message_limit) else { return };
         // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
         let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
         let server = &connect.server;
@@ -589,16 +606,14 @@
         }
     }
 
-    /// Guards against a strained server keeping its share: sends away the heaviest connection that is not where
-    /// its group's hash would have it.
+    /// Guards against a strained server keeping its share: sends away the heaviest connection that is not
+    /// where its group's hash would have it.
     fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
-        let servers = self.shelf.servers.borrow();
+        let servers = self.shelf.0.borrow();
         let held = server.held.borrow();
-        let away = |c: &Rc<Circuit>| {
-            c.group.is_some_and(|g| !Rc::ptr_eq(&servers[g as usize % servers.len()], server))
-                && !c.answered.get()
-        };
-        let guests = held.values().filter_map(Weak::upgrade).filter(away);
+        let home = |group: u64| (group as usize).checked_rem(servers.len()).map(|i| &servers[i]);
+        let away = |c: &Rc<Circuit>| c.group.and_then(home).is_some_and(|h| !Rc::ptr_eq(h, server));
+        let guests = held.values().filter_map(Weak::upgrade).filter(|c| away(c) && !c.answered.get());
         if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
             heaviest.answered.set(true);
             host.send_away(heaviest.id);
@@ -614,6 +629,19 @@
         }
     }
 
+    /// Guards against all proxies asking in step, after a start or a failed call.
+    fn ask_later(&mut self, now: Point, host: &mut dyn Host) {
+        // The first call waits under half a second; each failure doubles that.
+        const FIRST: Span = Span::millis(400);
+        let Some(must_ask_in) = self.must_ask_in else { return };
+        let pause = FIRST.times(f64::from(1u32 << self.list_failures.min(8)) * (0.5 + 0.5 * self.jitter()));
+        host.wake(now + pause.min(must_ask_in.times(0.4)), LIST);
+    }
+
+    fn jitter(&self) -> f64 {
+        f64::from(self.chance.borrow_mut().generate::<f32>())
+    }
+
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
         // An offering never heard of is treated as the most delicate kind.
         let offering = arrival.offering.and_then(|o| self.offerings.get(o));
@@ -622,14 +650,12 @@
             key: arrival.key.map_or(arrival.circuit.0, |k| xxh3_64(k.as_bytes())),
             group: arrival.group.map(|g| xxh3_64(g.as_bytes())),
             effect: offering.map_or(Effect::SingleUse, |o| o.effect),
-            message_limit: offering.and_then(|o| o.message_limit),
             patience_ends: arrival.patience_ends,
             mid_flow: arrival.mid_flow,
             returned: arrival.returned,
             stands: Cell::new(false),
             answered: Cell::new(false),
             load: Cell::new(0.0),
-            pick: RefCell::default(),
             connects: RefCell::default(),
         });
         self.circuits.insert(arrival.circuit, circuit.clone());
@@ -638,17 +664,17 @@
 
     /// Runs a circuit through the chain; what the chain does not keep gets its final answer at once.
     fn offer(&mut self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) {
+        let mut pick = None;
         for stage in &mut self.stages {
-            match stage.forth(circuit, now, host) {
-                Step::Pass => {}
+            match stage.forth(circuit, &mut pick, now, host) {
+                Step::Pass => continue,
                 Step::Keep => return,
                 Step::End => break,
             }
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            let jitter = f64::from(self.chance.borrow_mut().generate::<f32>());
-            host.push_back(circuit.id, self.most_pause.times(0.25 + 0.25 * jitter));
+            host.push_back(circuit.id, self.most_pause.times(0.25 + 0.25 * self.jitter()));
         } else {
             host.forfeit(circuit.id);
         }
@@ -661,5 +687,6 @@
         for stage in self.stages.iter_mut().rev() {
             stage.back(circuit, connect, now);
         }
+        circuit.stands.set(ending.is_none());
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decides where a balancer places long-lived connections.
 //!
-//! [`choice`] holds every decision, [`host`] the interface to whatever carries them out, [`time`] the two types of
-//! time. A host implements [`host::Host`] and calls a [`choice::Chooser`]:
+//! [`choice`] holds every decision, [`host`] the interface to whatever carries them out, [`time`] the types
+//! of time. A host implements [`host::Host`] and calls a [`choice::Chooser`]:
 //!
 //! ```
 //! use shelfgrade::choice::{Chooser, WarmUp};
