--- a/src/choice.rs
+++ b/src/choice.rs
@@ -391,7 +391,7 @@
         let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        if ordinary.filter(trusted).is_some() {
+        if ordinary.filter(|s| circuit.mid_flow || trusted(s)).is_some() {
             return ordinary.cloned();
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
@@ -674,7 +674,7 @@
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            host.push_back(circuit.id, self.most_pause.times(0.25 + 0.25 * self.jitter()));
+            host.push_back(circuit.id, self.most_pause.times(0.5 + 0.5 * self.jitter()));
         } else {
             host.forfeit(circuit.id);
         }
--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,150 @@
+//! One proxy on a fake host that notes what it is asked to do.
+
+use shelfgrade::choice::{Chooser, WarmUp};
+use shelfgrade::host::*;
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Notes {
+    /// Every connect, with the time-out it was given.
+    pub connects: Vec<(u64, String, Span)>,
+    pub pushed_back: Vec<(u64, Span)>,
+    pub forfeited: Vec<u64>,
+    pub sent_away: Vec<u64>,
+    pub subscribed: usize,
+    pub alarms: Vec<(Point, u64)>,
+}
+
+impl Host for Notes {
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span) {
+        self.connects.push((circuit.0, server.to_string(), time_out));
+    }
+    fn push_back(&mut self, circuit: CircuitId, pause: Span) {
+        self.pushed_back.push((circuit.0, pause));
+    }
+    fn forfeit(&mut self, circuit: CircuitId) {
+        self.forfeited.push(circuit.0);
+    }
+    fn send_away(&mut self, circuit: CircuitId) {
+        self.sent_away.push(circuit.0);
+    }
+    fn subscribe(&mut self) {
+        self.subscribed += 1;
+    }
+    fn wake(&mut self, at: Point, label: u64) {
+        self.alarms.push((at, label));
+    }
+}
+
+pub const REPLAYABLE: usize = 0;
+pub const SINGLE_USE: usize = 1;
+pub const REFERENCED: usize = 2;
+pub const MUST_ASK_IN: Span = Span::millis(10_000);
+pub const DRAIN_GRACE: Span = Span::millis(400);
+pub const PATIENCE: Span = Span::millis(2000);
+
+pub struct Proxy {
+    pub chooser: Chooser,
+    pub notes: Notes,
+    pub now: Point,
+    next: u64,
+}
+
+pub fn server(id: &str) -> Listed {
+    let zone = id[..1].to_owned();
+    Listed { server: id.into(), zone, cell: 0, started: None, standing: Standing::Active }
+}
+
+/// A circuit with its own key and no group.
+pub fn plain<'a>(key: &'a str) -> Arrival<'a> {
+    Arrival {
+        circuit: CircuitId(0),
+        offering: Some(REPLAYABLE),
+        key: Some(key),
+        group: None,
+        patience_ends: Point::default(),
+        mid_flow: false,
+        returned: false,
+    }
+}
+
+impl Proxy {
+    pub fn with(list: &[Listed]) -> Self {
+        let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0 };
+        let referenced = Effect::Referenced { among: Circle::Zone, window: Span::millis(1500) };
+        let message_limit = Some(Span::millis(50));
+        let offerings = [Effect::Replayable, Effect::SingleUse, referenced];
+        let offerings = offerings.map(|effect| Offering { effect, message_limit }).to_vec();
+        let pause = Span::millis(1000);
+        let chooser = Chooser::new(7, offerings, 4, pause, DRAIN_GRACE, Some(MUST_ASK_IN), warm_up);
+        let mut proxy = Proxy { chooser, notes: Notes::default(), now: Point::from_ms(60_000.0), next: 0 };
+        proxy.chooser.start(list, proxy.now, &mut proxy.notes);
+        proxy
+    }
+
+    /// Four servers in two zones, warm and active.
+    pub fn of_four() -> Self {
+        Self::with(&["a1", "a2", "b1", "b2"].map(server))
+    }
+
+    /// Lets a circuit arrive and gives its number.
+    pub fn arrives(&mut self, arrival: Arrival) -> u64 {
+        self.next += 1;
+        let ends = if arrival.patience_ends == Point::default() {
+            self.now + PATIENCE
+        } else {
+            arrival.patience_ends
+        };
+        let arrival = Arrival { circuit: CircuitId(self.next), patience_ends: ends, ..arrival };
+        self.chooser.arrived(&arrival, self.now, &mut self.notes);
+        self.next
+    }
+
+    /// Lets it arrive and its connection stand, if it was sent anywhere; says where.
+    pub fn settles(&mut self, arrival: Arrival) -> Option<String> {
+        let circuit = self.arrives(arrival);
+        let place = self.sent_to(circuit).last().cloned();
+        self.passes(20);
+        self.chooser.stands(CircuitId(circuit), self.now);
+        place
+    }
+
+    pub fn ends(&mut self, circuit: u64, ending: Ending) {
+        self.chooser.ended(CircuitId(circuit), ending, ending == Ending::Finished, self.now, &mut self.notes);
+    }
+
+    pub fn messages_take(&mut self, circuit: u64, ms: u64) {
+        self.chooser.messages_take(CircuitId(circuit), Span::millis(ms), self.now, &mut self.notes);
+    }
+
+    pub fn passes(&mut self, ms: u64) {
+        self.now = self.now + Span::millis(ms);
+    }
+
+    /// Lets time pass, ringing each alarm when it is due.
+    pub fn lives(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while let Some(i) = (0..self.notes.alarms.len()).find(|i| self.notes.alarms[*i].0 <= end) {
+            let (at, label) = self.notes.alarms.remove(i);
+            self.now = self.now.max(at);
+            self.chooser.woke(label, self.now, &mut self.notes);
+        }
+        self.now = end;
+    }
+
+    pub fn sent_to(&self, circuit: u64) -> Vec<String> {
+        self.notes.connects.iter().filter(|(c, ..)| *c == circuit).map(|(_, s, _)| s.clone()).collect()
+    }
+
+    pub fn last_place(&self) -> &str {
+        &self.notes.connects.last().expect("a connect").1
+    }
+
+    /// How many connects each server got.
+    pub fn shares(&self) -> BTreeMap<String, usize> {
+        let mut shares = BTreeMap::new();
+        self.notes.connects.iter().for_each(|(_, s, _)| *shares.entry(s.clone()).or_default() += 1);
+        shares
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,269 @@
+//! One short story for each failure met.
+
+mod fake;
+
+use fake::*;
+use shelfgrade::host::*;
+use shelfgrade::time::Span;
+
+/// A client key whose circuits go to `place` in an untroubled proxy of four.
+fn key_for(place: &str) -> String {
+    let lands = |key: &String| Proxy::of_four().settles(plain(key)).as_deref() == Some(place);
+    (0..).map(|i| format!("key-{i}")).find(lands).expect("some key")
+}
+
+#[test]
+fn a_key_keeps_its_server_at_every_proxy_and_keys_use_them_all() {
+    let (mut one, mut other) = (Proxy::of_four(), Proxy::with(&["b2", "a2", "b1", "a1"].map(server)));
+    for i in 0..40 {
+        let key = format!("lift-{}", i % 20);
+        assert_eq!(one.settles(plain(&key)), other.settles(plain(&key)));
+    }
+    assert_eq!(one.shares().len(), 4);
+}
+
+#[test]
+fn a_draining_or_gone_pick_passes_to_the_next_in_order() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    proxy.chooser.listed(&[Listed { standing: Standing::Draining, ..server("a2") }], false, proxy.now);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("b1"));
+    proxy.chooser.listed(&["b1", "b2"].map(server), true, proxy.now);
+    for i in 0..50 {
+        proxy.settles(plain(&format!("after-{i}")));
+    }
+    assert!(proxy.notes.connects[1..].iter().all(|(_, place, _)| place.starts_with('b')));
+}
+
+#[test]
+fn a_hot_key_is_skipped_on_once_its_server_holds_twice_the_mean() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a1");
+    for _ in 0..40 {
+        proxy.settles(plain(&key));
+    }
+    let shares = proxy.shares();
+    assert!(shares["a1"] >= 10 && shares["a1"] <= 21, "{shares:?}");
+    assert!(shares["a2"] > 0);
+}
+
+#[test]
+fn a_mid_flow_circuit_goes_where_the_table_says_until_that_has_aged() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    // The skip puts the tenth or so away from the hash's pick.
+    while proxy.settles(plain(&key)).as_deref() == Some("a2") {}
+    let away = proxy.last_place().to_owned();
+    let last = proxy.notes.connects.len() as u64;
+    let stray = Arrival { mid_flow: true, ..plain(&key) };
+    assert_eq!(proxy.settles(stray).as_deref(), Some(away.as_str()));
+    for circuit in 1..=last + 1 {
+        proxy.ends(circuit, Ending::Finished);
+    }
+    proxy.passes(31_000);
+    assert_eq!(proxy.settles(stray).as_deref(), Some("a2"));
+}
+
+#[test]
+fn a_mid_flow_circuit_goes_on_at_its_draining_server_only_within_the_grace() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    let stray = Arrival { mid_flow: true, ..plain(&key) };
+    proxy.settles(stray);
+    proxy.chooser.listed(&[Listed { standing: Standing::Draining, ..server("a2") }], false, proxy.now);
+    assert_eq!(proxy.settles(stray).as_deref(), Some("a2"));
+    proxy.now = proxy.now + DRAIN_GRACE;
+    assert_eq!(proxy.settles(stray).as_deref(), Some("b1"));
+}
+
+#[test]
+fn a_single_use_circuit_is_never_sent_after_it_may_have_run() {
+    let mut proxy = Proxy::of_four();
+    let delicate = Arrival { offering: Some(SINGLE_USE), ..plain("job") };
+    let run = proxy.arrives(delicate);
+    proxy.ends(run, Ending::Broken);
+    assert_eq!((proxy.sent_to(run).len(), &proxy.notes.forfeited), (1, &vec![run]));
+    let unrun = proxy.arrives(delicate);
+    proxy.ends(unrun, Ending::TurnedAway);
+    assert_eq!(proxy.sent_to(unrun).len(), 2, "proven not to have run, it may be sent again");
+    // An offering never heard of is handled as carefully.
+    let unknown = proxy.arrives(Arrival { offering: None, ..plain("what") });
+    proxy.ends(unknown, Ending::TimedOut);
+    assert_eq!(proxy.notes.forfeited, [run, unknown]);
+}
+
+#[test]
+fn a_referenced_circuit_stays_in_its_circle_and_window() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    let marked = Arrival { offering: Some(REFERENCED), ..plain(&key) };
+    let circuit = proxy.arrives(marked);
+    proxy.ends(circuit, Ending::Broken);
+    proxy.ends(circuit, Ending::Broken);
+    assert_eq!(proxy.sent_to(circuit), ["a2", "a1"], "only its own zone drops the repeat");
+    assert_eq!(proxy.notes.forfeited, [circuit], "no pushback: the client's next try may land anywhere");
+    let mut later = Proxy::of_four();
+    let circuit = later.arrives(marked);
+    later.passes(1600);
+    later.ends(circuit, Ending::TimedOut);
+    assert_eq!((later.sent_to(circuit).len(), &later.notes.forfeited), (1, &vec![circuit]));
+}
+
+#[test]
+fn every_circuit_gets_one_answer_by_the_end_of_its_patience_and_nothing_after() {
+    let mut proxy = Proxy::of_four();
+    let circuit = proxy.arrives(plain("slow"));
+    while proxy.notes.pushed_back.is_empty() {
+        let time_out = proxy.notes.connects.last().expect("a connect").2;
+        proxy.now = proxy.now + time_out;
+        proxy.ends(circuit, Ending::TimedOut);
+    }
+    assert!(proxy.now <= shelfgrade::time::Point::from_ms(60_000.0) + PATIENCE);
+    assert!(proxy.sent_to(circuit).len() >= 2, "the time-outs leave room for another connect");
+    let before = proxy.notes.connects.len();
+    proxy.ends(circuit, Ending::TimedOut);
+    assert_eq!((proxy.notes.connects.len(), proxy.notes.pushed_back.len()), (before, 1));
+    let mut proxy = Proxy::of_four();
+    let left = proxy.arrives(plain("impatient"));
+    proxy.chooser.left(CircuitId(left));
+    proxy.ends(left, Ending::TurnedAway);
+    assert_eq!((proxy.notes.connects.len(), proxy.notes.pushed_back.len()), (1, 0));
+}
+
+#[test]
+fn a_cold_server_gets_little_until_it_is_warm() {
+    let mut proxy = Proxy::of_four();
+    (0..40).for_each(|i| drop(proxy.settles(plain(&format!("early-{i}")))));
+    let cold = Listed { started: Some(proxy.now), ..server("a3") };
+    proxy.chooser.listed(&[cold], false, proxy.now);
+    let before = proxy.notes.connects.len();
+    for i in 0..100 {
+        proxy.settles(plain(&format!("storm-{i}")));
+    }
+    let sent = |proxy: &Proxy, from: usize| {
+        proxy.notes.connects[from..].iter().filter(|(_, place, _)| place == "a3").count()
+    };
+    assert!(sent(&proxy, before) <= 2, "{}", sent(&proxy, before));
+    proxy.passes(8000);
+    let warm = proxy.notes.connects.len();
+    for i in 0..100 {
+        proxy.settles(plain(&format!("warm-{i}")));
+    }
+    assert!(sent(&proxy, warm) > 10);
+}
+
+#[test]
+fn nowhere_to_go_is_answered_at_once_and_oddities_are_survived() {
+    let mut proxy = Proxy::with(&[]);
+    let keyless = Arrival { key: None, ..plain("") };
+    assert_eq!(proxy.settles(keyless), None);
+    proxy.chooser.listed(&[Listed { standing: Standing::Draining, ..server("a1") }], true, proxy.now);
+    assert_eq!(proxy.settles(plain("any")), None);
+    assert_eq!(proxy.notes.pushed_back.len(), 2);
+    assert!(proxy.notes.pushed_back.iter().all(|(_, pause)| *pause > Span::default()));
+    proxy.ends(77, Ending::Finished);
+    proxy.messages_take(77, 500);
+    proxy.chooser.left(CircuitId(77));
+    proxy.chooser.open_already(&plain("open"), "unheard-of", proxy.now);
+    proxy.chooser.listed(&[server("a1")], true, proxy.now);
+    assert_eq!(proxy.settles(keyless).as_deref(), Some("a1"));
+}
+
+#[test]
+fn the_list_is_asked_for_at_start_and_again_after_failures_but_never_too_late() {
+    let mut proxy = Proxy::of_four();
+    proxy.lives(400);
+    assert_eq!(proxy.notes.subscribed, 1);
+    for failures in 1..12 {
+        proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+        let pause = proxy.notes.alarms.last().expect("an alarm").0.since(proxy.now);
+        assert!(pause > Span::millis(200) && pause < MUST_ASK_IN.times(0.5), "{failures}: {pause:?}");
+        proxy.lives(5000);
+        assert_eq!(proxy.notes.subscribed, 1 + failures);
+    }
+}
+
+#[test]
+fn a_strained_server_gets_less_until_the_distrust_has_faded() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    proxy.settles(plain(&key));
+    proxy.messages_take(1, 200);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("b1"));
+    proxy.passes(60_000);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("a2"));
+}
+
+#[test]
+fn a_strained_server_has_guests_sent_away_and_they_gather_with_their_group() {
+    let mut proxy = Proxy::of_four();
+    let member = |key| Arrival { group: Some("bank-1"), ..plain(key) };
+    let returned = |key| Arrival { returned: true, ..member(key) };
+    let home = proxy.settles(returned("k1")).expect("a place");
+    let away = ["a1", "a2", "b1", "b2"].into_iter().find(|place| *place != home).expect("another");
+    let (light, heavy) = (key_for(away), key_for(away));
+    proxy.settles(member(&light));
+    proxy.settles(member(&heavy));
+    proxy.chooser.load_is(CircuitId(3), 9.0);
+    proxy.messages_take(2, 200);
+    assert_eq!(proxy.notes.sent_away, [3], "the heavier guest");
+    proxy.messages_take(2, 200);
+    proxy.messages_take(2, 200);
+    assert_eq!(proxy.notes.sent_away, [3, 2], "each once, and nobody who is at home");
+    assert_eq!(proxy.settles(returned(&heavy)).as_deref(), Some(home.as_str()));
+}
+
+#[test]
+fn an_overload_that_leaves_no_server_trusted_is_not_fed() {
+    let mut proxy = Proxy::of_four();
+    for place in ["a1", "a2", "b1", "b2"] {
+        let circuit = proxy.arrives(plain(&key_for(place)));
+        proxy.chooser.stands(CircuitId(circuit), proxy.now);
+        proxy.messages_take(circuit, 500);
+    }
+    let circuit = proxy.arrives(plain("one more"));
+    assert_eq!(proxy.notes.pushed_back.iter().map(|(c, _)| *c).collect::<Vec<_>>(), [circuit]);
+}
+
+#[test]
+fn a_jam_behind_all_servers_is_paced_and_every_circuit_in_line_is_answered_in_time() {
+    let mut proxy = Proxy::with(&["a1", "a2", "a3", "b1", "b2", "b3"].map(server));
+    for i in 0..6 {
+        let circuit = proxy.arrives(plain(&format!("jam-{i}")));
+        for _ in 0..4 {
+            proxy.ends(circuit, Ending::Errored);
+        }
+    }
+    let (sent, pushed) = (proxy.notes.connects.len(), proxy.notes.pushed_back.len());
+    let late = (0..50).map(|i| proxy.arrives(plain(&format!("storm-{i}")))).collect::<Vec<_>>();
+    assert!(proxy.notes.connects.len() - sent <= 1, "no storm");
+    assert!(proxy.notes.pushed_back.len() > pushed, "no line longer than patience");
+    proxy.lives(1900);
+    let answered =
+        |c: &u64| proxy.notes.pushed_back.iter().any(|(p, _)| p == c) || !proxy.sent_to(*c).is_empty();
+    assert!(late.iter().all(answered));
+}
+
+#[test]
+fn a_server_that_accepts_and_never_answers_is_passed_over() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    for _ in 0..6 {
+        let circuit = proxy.arrives(plain(&key));
+        proxy.passes(10);
+        proxy.chooser.stands(CircuitId(circuit), proxy.now);
+        proxy.ends(circuit, Ending::Finished);
+    }
+    proxy.arrives(plain(&key));
+    proxy.passes(300);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("b1"));
+}
+
+#[test]
+fn connections_open_at_the_start_count_and_are_known_mid_flow() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a2");
+    let open = Arrival { circuit: CircuitId(900), ..plain(&key) };
+    proxy.chooser.open_already(&open, "b2", proxy.now);
+    assert_eq!(proxy.settles(Arrival { mid_flow: true, ..plain(&key) }).as_deref(), Some("b2"));
+}
