--- a/src/choice.rs
+++ b/src/choice.rs
@@ -173,11 +173,12 @@
 
     /// The score of distrust now, from 0 to 1.
     fn distrust(&self, now: Point) -> f64 {
-        // Bridges the second between two notes and the pile-up that a server has yet to work off, and is
-        // short against a connection's life.
+        // Notes of late messages come once a second: no fading between two, or retries leak in meanwhile.
+        const HOLD: Span = Span::millis(1500);
+        // Enough to work off what has piled up, short against a connection's life.
         const HALF_LIFE: Span = Span::millis(6000);
         let (score, at) = self.distrust.get();
-        score * 0.5_f64.powf(now.since(at).over(HALF_LIFE))
+        score * 0.5_f64.powf(now.since(at + HOLD).over(HALF_LIFE))
     }
 
     fn distrust_more(&self, by: f64, now: Point) {
@@ -360,7 +361,7 @@
 struct Placement {
     shelf: Rc<Shelf>,
     warm_up: WarmUp,
-    chance: Rc<RefCell<WyRand>>,
+    seed: u64,
 }
 
 impl Placement {
@@ -382,8 +383,11 @@
                 && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
                 && self.warm_up.admits(s, mean, now)
         };
-        // One draw for the whole order, or many distrusted servers together would let nearly everything in.
-        let draw = f64::from(self.chance.borrow_mut().generate::<f32>());
+        // Guards against retries asking until they are let in: one draw for the whole order, and the same one
+        // for all that a client tries within a draw's life, which outlasts a client's own quick retries.
+        const DRAW_LIFE: Span = Span::millis(2000);
+        let seed = self.seed ^ circuit.key ^ now.count(DRAW_LIFE);
+        let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
         let trusted = |s: &&Rc<Server>| draw >= s.doubt(now);
 
         // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is
@@ -483,7 +487,7 @@
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     list_failures: u32,
-    chance: Rc<RefCell<WyRand>>,
+    chance: WyRand,
     line: Line,
     stages: [Box<dyn Stage>; 5],
     /// The door: every circuit unanswered, standing or with a connect still out.
@@ -502,7 +506,6 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let chance = Rc::new(RefCell::new(WyRand::new_seed(seed)));
         let shelf = Rc::new(Shelf::default());
         let line = Line::default();
         let pacing =
@@ -518,11 +521,11 @@
                 Box::new(Reception { most_connects }),
                 Box::new(Recall { drain_grace, table: BTreeMap::new(), swept: Point::default() }),
                 Box::new(pacing),
-                Box::new(Placement { shelf: shelf.clone(), warm_up, chance: chance.clone() }),
+                Box::new(Placement { shelf: shelf.clone(), warm_up, seed }),
                 Box::new(Dispatch { most_connects }),
             ],
             shelf,
-            chance,
+            chance: WyRand::new_seed(seed),
             circuits: BTreeMap::new(),
         }
     }
@@ -567,9 +570,8 @@
 
     /// The circuit's connection is established.
     pub fn stands(&mut self, circuit: CircuitId, now: Point) {
-        if let Some(circuit) = self.circuits.get(&circuit).cloned() {
-            self.bring_back(&circuit, None, now);
-        }
+        let Some(circuit) = self.circuits.get(&circuit).cloned() else { return };
+        self.bring_back(&circuit, None, now);
     }
 
     /// A connect has ended; `done` where the client has its final answer by now.
@@ -586,9 +588,7 @@
 
     /// The load of a standing connection, in work a second.
     pub fn load_is(&mut self, circuit: CircuitId, load: f64) {
-        if let Some(circuit) = self.circuits.get(&circuit) {
-            circuit.load.set(load);
-        }
+        self.circuits.get(&circuit).inspect(|c| c.load.set(load));
     }
 
     /// Messages of a standing connection take this long at its server.
@@ -598,11 +598,9 @@
         let (Some(connect), Some(limit)) = (connects.last(), self.message_limit) else { return };
         // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
         let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
-        let server = &connect.server;
-        let score = late.max(server.distrust(now));
-        server.distrust.set((score, now));
+        connect.server.distrust.set((late.max(connect.server.distrust(now)), now));
         if late > 0.5 {
-            self.relieve(server, host);
+            self.relieve(&connect.server, host);
         }
     }
 
@@ -634,12 +632,12 @@
         // The first call waits under half a second; each failure doubles that.
         const FIRST: Span = Span::millis(400);
         let Some(must_ask_in) = self.must_ask_in else { return };
-        let pause = FIRST.times(f64::from(1u32 << self.list_failures.min(8)) * (0.5 + 0.5 * self.jitter()));
+        let pause = self.jittered(FIRST.times(f64::from(1u32 << self.list_failures.min(8))));
         host.wake(now + pause.min(must_ask_in.times(0.4)), LIST);
     }
 
-    fn jitter(&self) -> f64 {
-        f64::from(self.chance.borrow_mut().generate::<f32>())
+    fn jittered(&mut self, most: Span) -> Span {
+        most.times(0.5 + 0.5 * f64::from(self.chance.generate::<f32>()))
     }
 
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
@@ -674,7 +672,8 @@
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            host.push_back(circuit.id, self.most_pause.times(0.5 + 0.5 * self.jitter()));
+            let pause = self.jittered(self.most_pause);
+            host.push_back(circuit.id, pause);
         } else {
             host.forfeit(circuit.id);
         }
--- a/src/time.rs
+++ b/src/time.rs
@@ -19,6 +19,11 @@
         self.0 as f64 / 1000.0
     }
 
+    /// How many whole spans of this length lie before this moment.
+    pub fn count(self, of: Span) -> u64 {
+        self.0 / of.0.max(1)
+    }
+
     /// The time gone by since `earlier`; nothing if that has yet to come.
     pub fn since(self, earlier: Point) -> Span {
         Span(self.0.saturating_sub(earlier.0))
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -225,6 +225,32 @@
     assert_eq!(proxy.notes.pushed_back.iter().map(|(c, _)| *c).collect::<Vec<_>>(), [circuit]);
 }
 
+#[test]
+fn a_client_that_asks_again_at_once_does_not_leak_into_a_strained_fleet() {
+    let mut proxy = Proxy::of_four();
+    for place in ["a1", "a2", "b1", "b2"] {
+        let circuit = proxy.arrives(plain(&key_for(place)));
+        proxy.chooser.stands(CircuitId(circuit), proxy.now);
+        proxy.messages_take(circuit, 35);
+    }
+    // Partly distrusted servers let some clients in and turn others away, but no client by asking often.
+    let mut admitted = [0, 0];
+    for client in 0..20 {
+        let key = format!("client-{client}");
+        let tries: Vec<bool> = (0..10).map(|_| proxy.settles(plain(&key)).is_some()).collect();
+        assert!(tries.iter().all(|t| *t == tries[0]), "{tries:?}");
+        admitted[usize::from(tries[0])] += 1;
+        proxy.now = shelfgrade::time::Point::from_ms(60_100.0);
+    }
+    assert!(admitted[0] > 0 && admitted[1] > 0, "{admitted:?}");
+    // Between two notes the score does not fade, so that nobody slips in.
+    let mut proxy = Proxy::with(&[server("a1")]);
+    proxy.settles(plain("first"));
+    proxy.messages_take(1, 100);
+    proxy.passes(1200);
+    assert_eq!(proxy.settles(plain("second")), None);
+}
+
 #[test]
 fn a_jam_behind_all_servers_is_paced_and_every_circuit_in_line_is_answered_in_time() {
     let mut proxy = Proxy::with(&["a1", "a2", "a3", "b1", "b2", "b3"].map(server));
