--- a/src/choice.rs
+++ b/src/choice.rs
@@ -357,9 +357,37 @@
     }
 }
 
+/// The groups of the last circuits that came for the first time.
+#[derive(Default)]
+struct Groups(RefCell<VecDeque<u64>>);
+
+impl Groups {
+    // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
+    const SAMPLES: usize = 128;
+
+    fn saw(&self, group: u64) {
+        let mut recent = self.0.borrow_mut();
+        recent.push_back(group);
+        keep_last(Self::SAMPLES, &mut recent);
+    }
+
+    /// Where in a list of so many servers the group's slice begins and how long it is: its share of the
+    /// traffic, and one more, so that a large group does not crush one server.
+    fn slice(&self, group: u64, servers: usize) -> (usize, usize) {
+        // Fewer samples than this say little about a share.
+        const FEWEST: usize = 16;
+        let recent = self.0.borrow();
+        let more = recent.iter().filter(|g| **g == group).count().saturating_sub(1);
+        let width = 1 + SPREAD * more * servers / recent.len().max(FEWEST);
+        (group as usize % servers.max(1), width.min(servers))
+    }
+}
+const SPREAD: usize = 1;
+
 /// Fourth stage: the design's choice of a server, with the load skip.
 struct Placement {
     shelf: Rc<Shelf>,
+    groups: Rc<Groups>,
     warm_up: WarmUp,
     seed: u64,
 }
@@ -401,7 +429,11 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // distrusted, meets its group at the server that the group's hash names at every proxy. Where no
         // server is trusted enough the circuit is pushed back, so that an overload is not fed.
-        let order = || from(by_group.unwrap_or(circuit.key)).filter(usable).filter(trusted);
+        let n = servers.len();
+        let (start, width) = by_group.map_or((circuit.key as usize % n.max(1), 1), |g| self.groups.slice(g, n));
+        let turned = circuit.key as usize % width.max(1);
+        let place = |i: usize| &servers[(start + if i < width { (turned + i) % width } else { i }) % n];
+        let order = || (0..n).map(place).filter(active).filter(usable).filter(trusted);
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
@@ -484,6 +516,7 @@
     message_limit: Option<Span>,
     most_pause: Span,
     shelf: Rc<Shelf>,
+    groups: Rc<Groups>,
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     list_failures: u32,
@@ -507,7 +540,7 @@
         warm_up: WarmUp,
     ) -> Self {
         let shelf = Rc::new(Shelf::default());
-        let line = Line::default();
+        let (line, groups) = (Line::default(), Rc::new(Groups::default()));
         let pacing =
             Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
         Chooser {
@@ -521,10 +554,11 @@
                 Box::new(Reception { most_connects }),
                 Box::new(Recall { drain_grace, table: BTreeMap::new(), swept: Point::default() }),
                 Box::new(pacing),
-                Box::new(Placement { shelf: shelf.clone(), warm_up, seed }),
+                Box::new(Placement { shelf: shelf.clone(), groups: groups.clone(), warm_up, seed }),
                 Box::new(Dispatch { most_connects }),
             ],
             shelf,
+            groups,
             chance: WyRand::new_seed(seed),
             circuits: BTreeMap::new(),
         }
@@ -609,8 +643,14 @@
     fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
         let servers = self.shelf.0.borrow();
         let held = server.held.borrow();
-        let home = |group: u64| (group as usize).checked_rem(servers.len()).map(|i| &servers[i]);
-        let away = |c: &Rc<Circuit>| c.group.and_then(home).is_some_and(|h| !Rc::ptr_eq(h, server));
+        let n = servers.len();
+        let Ok(place) = servers.binary_search_by(|s| s.id.cmp(&server.id)) else { return };
+        let away = |c: &Rc<Circuit>| {
+            c.group.is_some_and(|g| {
+                let (start, width) = self.groups.slice(g, n);
+                (place + n - start) % n >= width
+            })
+        };
         let guests = held.values().filter_map(Weak::upgrade).filter(|c| away(c) && !c.answered.get());
         if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
             heaviest.answered.set(true);
@@ -656,6 +696,7 @@
             load: Cell::new(0.0),
             connects: RefCell::default(),
         });
+        circuit.group.filter(|_| !circuit.returned).inspect(|g| self.groups.saw(*g));
         self.circuits.insert(arrival.circuit, circuit.clone());
         circuit
     }
