--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,7 @@
 #[derive(Default)]
 struct Server {
     id: ServerId,
+    hash: u64,
     zone: String,
     cell: u64,
     standing: Cell<Standing>,
@@ -137,7 +138,8 @@
         for line in lines {
             let server = self.find(&line.server).unwrap_or_else(|| {
                 let (id, zone) = (line.server.clone(), line.zone.clone());
-                let server = Rc::new(Server { id, zone, cell: line.cell, ..Server::default() });
+                let hash = xxh3_64(id.as_bytes());
+                let server = Rc::new(Server { id, hash, zone, cell: line.cell, ..Server::default() });
                 let mut servers = self.0.borrow_mut();
                 let place = servers.partition_point(|s| s.id < server.id);
                 servers.insert(place, server.clone());
@@ -166,6 +168,12 @@
         self.leaving_since.set(leaving.then(|| self.leaving_since.get().unwrap_or(now)));
     }
 
+    /// The server's place in the order of a group or key: the same at every proxy, and a list that changes
+    /// moves little of it.
+    fn rank(&self, by: u64) -> u64 {
+        (self.hash ^ by).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+
     /// Connections that this proxy has here, standing or under way.
     fn open(&self) -> f64 {
         self.held.borrow().len() as f64 + f64::from(self.waiting.get())
@@ -371,18 +379,15 @@
         keep_last(Self::SAMPLES, &mut recent);
     }
 
-    /// Where in a list of so many servers the group's slice begins and how long it is: its share of the
-    /// traffic, and one more, so that a large group does not crush one server.
-    fn slice(&self, group: u64, servers: usize) -> (usize, usize) {
+    /// How many of so many servers a group needs by its share of the traffic.
+    fn width(&self, group: u64, servers: usize) -> usize {
         // Fewer samples than this say little about a share.
         const FEWEST: usize = 16;
         let recent = self.0.borrow();
         let more = recent.iter().filter(|g| **g == group).count().saturating_sub(1);
-        let width = 1 + SPREAD * more * servers / recent.len().max(FEWEST);
-        (group as usize % servers.max(1), width.min(servers))
+        1 + more * servers / recent.len().max(FEWEST)
     }
 }
-const SPREAD: usize = 1;
 
 /// Fourth stage: the design's choice of a server, with the load skip.
 struct Placement {
@@ -429,11 +434,12 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // distrusted, meets its group at the server that the group's hash names at every proxy. Where no
         // server is trusted enough the circuit is pushed back, so that an overload is not fed.
-        let n = servers.len();
-        let (start, width) = by_group.map_or((circuit.key as usize % n.max(1), 1), |g| self.groups.slice(g, n));
-        let turned = circuit.key as usize % width.max(1);
-        let place = |i: usize| &servers[(start + if i < width { (turned + i) % width } else { i }) % n];
-        let order = || (0..n).map(place).filter(active).filter(usable).filter(trusted);
+        let by = by_group.unwrap_or(circuit.key);
+        let mut ranked: Vec<_> = servers.iter().filter(active).collect();
+        ranked.sort_by_cached_key(|s| s.rank(by));
+        let width = by_group.map_or(1, |g| self.groups.width(g, ranked.len())).min(ranked.len());
+        ranked[..width].sort_by_cached_key(|s| s.rank(circuit.key));
+        let order = || ranked.iter().copied().filter(usable).filter(trusted);
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
@@ -643,14 +649,10 @@
     fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
         let servers = self.shelf.0.borrow();
         let held = server.held.borrow();
-        let n = servers.len();
-        let Ok(place) = servers.binary_search_by(|s| s.id.cmp(&server.id)) else { return };
-        let away = |c: &Rc<Circuit>| {
-            c.group.is_some_and(|g| {
-                let (start, width) = self.groups.slice(g, n);
-                (place + n - start) % n >= width
-            })
-        };
+        let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
+        let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
+        let home = |g| before(g) < self.groups.width(g, active().count());
+        let away = |c: &Rc<Circuit>| c.group.is_some_and(|g| !home(g));
         let guests = held.values().filter_map(Weak::upgrade).filter(|c| away(c) && !c.answered.get());
         if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
             heaviest.answered.set(true);
