--- a/src/choice.rs
+++ b/src/choice.rs
@@ -439,7 +439,7 @@
         ranked.sort_by_cached_key(|s| s.rank(by));
         let width = by_group.map_or(1, |g| self.groups.width(g, ranked.len())).min(ranked.len());
         ranked[..width].sort_by_cached_key(|s| s.rank(circuit.key));
-        let order = || ranked.iter().copied().filter(usable).filter(trusted);
+        let order = || ranked.iter().copied().filter(usable).take(width + 2).filter(trusted);
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
