--- a/src/choice.rs
+++ b/src/choice.rs
@@ -428,7 +428,8 @@
         let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        if ordinary.filter(|s| circuit.mid_flow || trusted(s)).is_some() {
+        let usual = servers.iter().filter(active).map(|s| s.distrust(now)).sum::<f64>() / servers.len().max(1) as f64;
+        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= usual).is_some() {
             return ordinary.cloned();
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
