--- a/src/choice.rs
+++ b/src/choice.rs
@@ -428,19 +428,20 @@
         let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        let usual = servers.iter().filter(active).map(|s| s.distrust(now)).sum::<f64>() / servers.len().max(1) as f64;
-        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= usual).is_some() {
+        let known: Vec<f64> = servers.iter().filter(active).filter(|s| s.open() > 0.0).map(|s| s.distrust(now)).collect();
+        let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= 2.0 * usual).is_some() {
             return ordinary.cloned();
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // distrusted, meets its group at the server that the group's hash names at every proxy. Where no
         // server is trusted enough the circuit is pushed back, so that an overload is not fed.
         let by = by_group.unwrap_or(circuit.key);
-        let mut ranked: Vec<_> = servers.iter().filter(active).collect();
-        ranked.sort_by_cached_key(|s| s.rank(by));
+        let mut ranked: Vec<_> = servers.iter().filter(active).filter(usable).map(|s| (s.rank(by), s)).collect();
+        ranked.sort_unstable_by_key(|r| r.0);
         let width = by_group.map_or(1, |g| self.groups.width(g, ranked.len())).min(ranked.len());
-        ranked[..width].sort_by_cached_key(|s| s.rank(circuit.key));
-        let order = || ranked.iter().copied().filter(usable).take(width + 2).filter(trusted);
+        ranked[..width].sort_unstable_by_key(|r| r.1.rank(circuit.key));
+        let order = || ranked.iter().map(|r| r.1).take(width + 2).filter(trusted);
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
