Warm-up budget by share of a connect, no floor: holds for any number of proxies

Cause: at thirty proxies a floor of one connection each adds up to more than a cold server's share, and after a growth the floor's slow saving starved the new servers. Now each proxy begins with a random part of a connect and saves what a server's mean holding, spread over the warm-up span, allows.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -126,7 +126,7 @@
 
 /// The id-sorted list, shared by the stages.
 #[derive(Default)]
-struct Shelf(RefCell<Vec<Rc<Server>>>);
+struct Shelf(RefCell<Vec<Rc<Server>>>, u64);
 
 impl Shelf {
     fn find(&self, id: &str) -> Option<Rc<Server>> {
@@ -148,7 +148,8 @@
             if line.started > server.started.get() {
                 server.started.set(line.started);
                 server.distrust.set((0.0, now));
-                server.budget.set((0.0, now));
+                let mut part = WyRand::new_seed(self.1 ^ server.hash);
+                server.budget.set((f64::from(part.generate::<f32>()), now));
             }
             server.stand(line.standing, now);
         }
@@ -353,7 +354,7 @@
             return true;
         }
         // The rate that upkeep of that many connections needs, if they lived as long as the table remembers.
-        let usual = warm_holds.max(1.0) / TABLE_TIME_OUT.as_ms();
+        let usual = warm_holds / self.cold_span.as_ms();
         // Half of the bound is left for chance.
         const USED: f64 = 0.5;
         let present = self.cold_from + (1.0 - self.cold_from) * age;
@@ -547,7 +548,7 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf::default());
+        let shelf = Rc::new(Shelf(RefCell::default(), seed));
         let (line, groups) = (Line::default(), Rc::new(Groups::default()));
         let pacing =
             Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
