--- a/crates/adapter/src/birth.rs
+++ b/crates/adapter/src/birth.rs
@@ -67,7 +67,6 @@
     overload_factor: f64,
     #[serde(default)]
     must_ask_in_ms: f64,
-    stop_sending_within_ms: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -109,7 +108,6 @@
         known.collect(),
         bounds.most_connects,
         Span::from_ms(bounds.max_retry_after_ms),
-        Span::from_ms(invariants.stop_sending_within_ms),
         must_ask_in,
         warm_up,
     );
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,16 +34,12 @@
     zone: String,
     cell: u64,
     standing: Cell<Standing>,
-    /// When this proxy was first told that it drains or is gone.
-    leaving_since: Cell<Option<Point>>,
     started: Cell<Option<Point>>,
     /// The connections that this proxy placed and that stand.
     held: RefCell<BTreeMap<CircuitId, Weak<Circuit>>>,
     /// Connects that wait for a word from the server, and since when it has sent none.
     waiting: Cell<u32>,
     silent_since: Cell<Option<Point>>,
-    /// The last few times that a connect took to stand.
-    gaps: RefCell<VecDeque<Span>>,
     /// The score of distrust as it was at a moment.
     distrust: Cell<(f64, Point)>,
     /// What is left of a cold server's budget, in connects, as it was at a moment.
@@ -124,13 +120,18 @@
     fn back(&mut self, _circuit: &Rc<Circuit>, _connect: &Connect, _now: Point) {}
 }
 
-/// The id-sorted list, shared by the stages.
-#[derive(Default)]
-struct Shelf(RefCell<Vec<Rc<Server>>>, u64);
+/// The id-sorted list and what was seen over all its servers, shared by the stages.
+struct Shelf {
+    servers: RefCell<Vec<Rc<Server>>>,
+    /// The last few times that a connect took to stand, at any server: of one server alone a proxy among many
+    /// sees too few.
+    gaps: RefCell<VecDeque<Span>>,
+    seed: u64,
+}
 
 impl Shelf {
     fn find(&self, id: &str) -> Option<Rc<Server>> {
-        let servers = self.0.borrow();
+        let servers = self.servers.borrow();
         servers.binary_search_by(|s| s.id.as_ref().cmp(id)).ok().map(|i| servers[i].clone())
     }
 
@@ -140,7 +141,7 @@
                 let (id, zone) = (line.server.clone(), line.zone.clone());
                 let hash = xxh3_64(id.as_bytes());
                 let server = Rc::new(Server { id, hash, zone, cell: line.cell, ..Server::default() });
-                let mut servers = self.0.borrow_mut();
+                let mut servers = self.servers.borrow_mut();
                 let place = servers.partition_point(|s| s.id < server.id);
                 servers.insert(place, server.clone());
                 server
@@ -148,27 +149,39 @@
             if line.started > server.started.get() {
                 server.started.set(line.started);
                 server.distrust.set((0.0, now));
-                let mut part = WyRand::new_seed(self.1 ^ server.hash);
+                let mut part = WyRand::new_seed(self.seed ^ server.hash);
                 server.budget.set((f64::from(part.generate::<f32>()), now));
             }
-            server.stand(line.standing, now);
+            server.standing.set(line.standing);
         }
-        let mut servers = self.0.borrow_mut();
+        let mut servers = self.servers.borrow_mut();
         if whole {
             let absent = |s: &&Rc<Server>| !lines.iter().any(|l| l.server == s.id);
-            servers.iter().filter(absent).for_each(|s| s.stand(Standing::Gone, now));
+            servers.iter().filter(absent).for_each(|s| s.standing.set(Standing::Gone));
         }
         servers.retain(|s| s.standing.get() != Standing::Gone);
     }
-}
 
-impl Server {
-    fn stand(&self, standing: Standing, now: Point) {
-        self.standing.set(standing);
-        let leaving = standing != Standing::Active;
-        self.leaving_since.set(leaving.then(|| self.leaving_since.get().unwrap_or(now)));
+    /// The wait after which a connect's silence is unusual, given the earlier gaps.
+    fn unusual_after(&self) -> Option<Span> {
+        // Fewer say too little of what is usual.
+        const FEWEST: usize = 5;
+        // With an exponential tail, one silence in 10^4 lasts as long by chance.
+        const PHI: f64 = 4.0;
+        let gaps = self.gaps.borrow();
+        let mean = gaps.iter().map(|g| g.as_ms()).sum::<f64>() / gaps.len().max(1) as f64;
+        (gaps.len() >= FEWEST).then(|| Span::from_ms(mean * PHI * std::f64::consts::LN_10))
     }
 
+    /// The mean distrust of the servers that hold circuits of this proxy: how strained the fleet is.
+    fn strain(&self, now: Point) -> f64 {
+        let servers = self.servers.borrow();
+        let known: Vec<_> = servers.iter().filter(|s| s.open() > 0.0).map(|s| s.distrust(now)).collect();
+        known.iter().sum::<f64>() / known.len().max(1) as f64
+    }
+}
+
+impl Server {
     /// The server's place in the order of a group or key: the same at every proxy, and a list that changes
     /// moves little of it.
     fn rank(&self, by: u64) -> u64 {
@@ -193,26 +206,6 @@
     fn distrust_more(&self, by: f64, now: Point) {
         self.distrust.set((1.0 - (1.0 - self.distrust(now)) * (1.0 - by), now));
     }
-
-    /// The wait after which a connect's silence is unusual, given the earlier gaps.
-    fn unusual_after(&self) -> Option<Span> {
-        // Fewer say too little of what is usual.
-        const FEWEST: usize = 5;
-        // With an exponential tail, one silence in 10^4 lasts as long by chance.
-        const PHI: f64 = 4.0;
-        let gaps = self.gaps.borrow();
-        let mean = gaps.iter().map(|g| g.as_ms()).sum::<f64>() / gaps.len().max(1) as f64;
-        (gaps.len() >= FEWEST).then(|| Span::from_ms(mean * PHI * std::f64::consts::LN_10))
-    }
-
-    /// How little this server is to be trusted now: all the less while it is unusually silent.
-    fn doubt(&self, now: Point) -> f64 {
-        let silence = self.silent_since.get().map(|since| now.since(since));
-        if silence.is_some_and(|s| self.unusual_after().is_some_and(|limit| s > limit)) {
-            return 1.0;
-        }
-        self.distrust(now)
-    }
 }
 
 /// First stage: whether the circuit may have a connect at all.
@@ -236,7 +229,6 @@
 
 /// Second stage: the bounded, aged table that answers mid-flow circuits.
 struct Recall {
-    drain_grace: Span,
     /// By client key: the server, and when the connection ended if it has.
     table: BTreeMap<u64, (Weak<Server>, Option<Point>)>,
     swept: Point,
@@ -249,13 +241,8 @@
 impl Stage for Recall {
     fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
         if circuit.mid_flow && circuit.connects.borrow().is_empty() {
-            // Guards against resetting a connection that its draining server would still serve: it goes on
-            // there in the first half of the grace, the rest being left for what is on the way.
-            let still = |since| now.since(since) < self.drain_grace.times(0.5);
-            let holds =
-                |s: &Server| s.standing.get() != Standing::Gone && s.leaving_since.get().is_none_or(still);
             let known = self.table.get(&circuit.key).filter(|(_, ended)| !aged(*ended, now));
-            *pick = known.and_then(|(server, _)| server.upgrade()).filter(|s| holds(s));
+            *pick = known.and_then(|(server, _)| server.upgrade()).filter(|s| s.standing.get() == Standing::Active);
         }
         Step::Pass
     }
@@ -403,7 +390,7 @@
         // The design page's figures: over twice the mean, and at least three more than it.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
-        let servers = self.shelf.0.borrow();
+        let servers = self.shelf.servers.borrow();
         let active = |s: &&Rc<Server>| s.standing.get() == Standing::Active;
         let open: f64 = servers.iter().filter(active).map(|s| s.open()).sum();
         let mean = open / servers.iter().filter(active).count().max(1) as f64;
@@ -422,16 +409,20 @@
         const DRAW_LIFE: Span = Span::millis(2000);
         let seed = self.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
-        let trusted = |s: &&Rc<Server>| draw >= s.doubt(now);
+        // A server is not trusted all the less while it is unusually silent.
+        let unusual = self.shelf.unusual_after();
+        let silent = |s: &Server| s.silent_since.get().zip(unusual).is_some_and(|(at, u)| now.since(at) > u);
+        let trusted = |s: &&Rc<Server>| draw >= s.distrust(now) && !silent(s);
 
         // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is
         // overfull.
         let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
+        // At size most servers are unknown to a proxy, so strain counts for them too: at half on the mean all
+        // circuits gather.
+        const STRAIN_COUNTS: f64 = 2.0;
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        let known: Vec<f64> = servers.iter().filter(active).filter(|s| s.open() > 0.0).map(|s| s.distrust(now)).collect();
-        let usual = known.iter().sum::<f64>() / known.len().max(1) as f64;
-        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= 2.0 * usual).is_some() {
+        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= STRAIN_COUNTS * self.shelf.strain(now)).is_some() {
             return ordinary.cloned();
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
@@ -466,6 +457,7 @@
 
 /// Last stage: sends the connect and measures what comes back.
 struct Dispatch {
+    shelf: Rc<Shelf>,
     most_connects: usize,
 }
 
@@ -477,7 +469,7 @@
         // Guards against a patience spent on one silent server: half of what is left stays for another
         // connect.
         let half = left.times(0.5);
-        let time_out = match server.unusual_after() {
+        let time_out = match self.shelf.unusual_after() {
             _ if last || circuit.effect == Effect::SingleUse => left,
             Some(unusual) => unusual.max(left.times(0.25)).min(half),
             None => half,
@@ -506,7 +498,7 @@
         }
         if connect.ending.is_none() {
             server.held.borrow_mut().insert(circuit.id, Rc::downgrade(circuit));
-            let mut gaps = server.gaps.borrow_mut();
+            let mut gaps = self.shelf.gaps.borrow_mut();
             // A connection that was open before this proxy started says nothing of the time it took.
             gaps.extend(Some(now.since(connect.sent)).filter(|g| *g > Span::default()));
             keep_last(SAMPLES, &mut gaps);
@@ -544,11 +536,10 @@
         offerings: Vec<Offering>,
         most_connects: usize,
         most_pause: Span,
-        drain_grace: Span,
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf(RefCell::default(), seed));
+        let shelf = Rc::new(Shelf { servers: RefCell::default(), gaps: RefCell::default(), seed });
         let (line, groups) = (Line::default(), Rc::new(Groups::default()));
         let pacing =
             Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
@@ -561,10 +552,10 @@
             list_failures: 0,
             stages: [
                 Box::new(Reception { most_connects }),
-                Box::new(Recall { drain_grace, table: BTreeMap::new(), swept: Point::default() }),
+                Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
                 Box::new(pacing),
                 Box::new(Placement { shelf: shelf.clone(), groups: groups.clone(), warm_up, seed }),
-                Box::new(Dispatch { most_connects }),
+                Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
             ],
             shelf,
             groups,
@@ -650,7 +641,7 @@
     /// Guards against a strained server keeping its share: sends away the heaviest connection that is not
     /// where its group's hash would have it.
     fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
-        let servers = self.shelf.0.borrow();
+        let servers = self.shelf.servers.borrow();
         let held = server.held.borrow();
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,8 +24,8 @@
 //! let mut host = Printer(Vec::new());
 //! let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0 };
 //! let offering = Offering { effect: Effect::Replayable, message_limit: None };
-//! let (pause, grace) = (Span::millis(2000), Span::millis(400));
-//! let mut chooser = Chooser::new(7, vec![offering], 4, pause, grace, None, warm_up);
+//! let pause = Span::millis(2000);
+//! let mut chooser = Chooser::new(7, vec![offering], 4, pause, None, warm_up);
 //! let server = Listed {
 //!     server: "192.0.2.1:80".into(),
 //!     zone: "a".into(),
