--- a/src/choice.rs
+++ b/src/choice.rs
@@ -121,11 +121,14 @@
 }
 
 /// The id-sorted list and what was seen over all its servers, shared by the stages.
+#[derive(Default)]
 struct Shelf {
     servers: RefCell<Vec<Rc<Server>>>,
     /// The last few times that a connect took to stand, at any server: of one server alone a proxy among many
     /// sees too few.
     gaps: RefCell<VecDeque<Span>>,
+    /// The groups of the last circuits that came for the first time.
+    groups: RefCell<VecDeque<u64>>,
     seed: u64,
 }
 
@@ -162,6 +165,21 @@
         servers.retain(|s| s.standing.get() != Standing::Gone);
     }
 
+    fn saw_group(&self, group: u64) {
+        // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
+        const SAMPLES: usize = 128;
+        keep_last(SAMPLES, group, &mut self.groups.borrow_mut());
+    }
+
+    /// How many of so many servers a group needs by its share of the traffic.
+    fn width(&self, group: u64, servers: usize) -> usize {
+        // Fewer samples than this say little about a share.
+        const FEWEST: usize = 16;
+        let groups = self.groups.borrow();
+        let more = groups.iter().filter(|g| **g == group).count().saturating_sub(1);
+        (1 + more * servers / groups.len().max(FEWEST)).min(servers)
+    }
+
     /// The wait after which a connect's silence is unusual, given the earlier gaps.
     fn unusual_after(&self) -> Option<Span> {
         // Fewer say too little of what is usual.
@@ -185,7 +203,10 @@
     /// The server's place in the order of a group or key: the same at every proxy, and a list that changes
     /// moves little of it.
     fn rank(&self, by: u64) -> u64 {
-        (self.hash ^ by).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        (self.hash ^ by)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+            .rotate_left(32)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
     }
 
     /// Connections that this proxy has here, standing or under way.
@@ -242,7 +263,8 @@
     fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
         if circuit.mid_flow && circuit.connects.borrow().is_empty() {
             let known = self.table.get(&circuit.key).filter(|(_, ended)| !aged(*ended, now));
-            *pick = known.and_then(|(server, _)| server.upgrade()).filter(|s| s.standing.get() == Standing::Active);
+            let server = known.and_then(|(server, _)| server.upgrade());
+            *pick = server.filter(|s| s.standing.get() == Standing::Active);
         }
         Step::Pass
     }
@@ -319,8 +341,7 @@
         if !circuit.stands.get() && !circuit.mid_flow {
             let stood = connect.ending.is_none();
             self.bad_in_row = if stood { 0 } else { self.bad_in_row + 1 };
-            self.recent.push_back((stood, connect.server.id.clone()));
-            keep_last(SAMPLES, &mut self.recent);
+            keep_last(SAMPLES, (stood, connect.server.id.clone()), &mut self.recent);
         }
     }
 }
@@ -340,7 +361,7 @@
         if age >= 1.0 {
             return true;
         }
-        // The rate that upkeep of that many connections needs, if they lived as long as the table remembers.
+        // A cold server can take what fills it over its warm-up.
         let usual = warm_holds / self.cold_span.as_ms();
         // Half of the bound is left for chance.
         const USED: f64 = 0.5;
@@ -353,36 +374,10 @@
     }
 }
 
-/// The groups of the last circuits that came for the first time.
-#[derive(Default)]
-struct Groups(RefCell<VecDeque<u64>>);
-
-impl Groups {
-    // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
-    const SAMPLES: usize = 128;
-
-    fn saw(&self, group: u64) {
-        let mut recent = self.0.borrow_mut();
-        recent.push_back(group);
-        keep_last(Self::SAMPLES, &mut recent);
-    }
-
-    /// How many of so many servers a group needs by its share of the traffic.
-    fn width(&self, group: u64, servers: usize) -> usize {
-        // Fewer samples than this say little about a share.
-        const FEWEST: usize = 16;
-        let recent = self.0.borrow();
-        let more = recent.iter().filter(|g| **g == group).count().saturating_sub(1);
-        1 + more * servers / recent.len().max(FEWEST)
-    }
-}
-
 /// Fourth stage: the design's choice of a server, with the load skip.
 struct Placement {
     shelf: Rc<Shelf>,
-    groups: Rc<Groups>,
     warm_up: WarmUp,
-    seed: u64,
 }
 
 impl Placement {
@@ -391,49 +386,50 @@
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
         let servers = self.shelf.servers.borrow();
-        let active = |s: &&Rc<Server>| s.standing.get() == Standing::Active;
-        let open: f64 = servers.iter().filter(active).map(|s| s.open()).sum();
-        let mean = open / servers.iter().filter(active).count().max(1) as f64;
+        let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
+        let mean = active().map(|s| s.open()).sum::<f64>() / active().count().max(1) as f64;
         let overfull = |s: &Server| s.open() > SKIP_FACTOR * mean && s.open() >= mean + SKIP_MARGIN;
-        let from = |hash: u64| {
-            let first = hash as usize % servers.len().max(1);
-            servers[first..].iter().chain(&servers[..first]).filter(active)
-        };
         let usable = |s: &&Rc<Server>| {
-            circuit.may_go_to(s, now)
+            s.standing.get() == Standing::Active
+                && circuit.may_go_to(s, now)
                 && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
                 && self.warm_up.admits(s, mean, now)
         };
         // Guards against retries asking until they are let in: one draw for the whole order, and the same one
         // for all that a client tries within a draw's life, which outlasts a client's own quick retries.
         const DRAW_LIFE: Span = Span::millis(2000);
-        let seed = self.seed ^ circuit.key ^ now.count(DRAW_LIFE);
+        let seed = self.shelf.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
-        // A server is not trusted all the less while it is unusually silent.
+        // While it is unusually silent a server has no trust at all.
         let unusual = self.shelf.unusual_after();
         let silent = |s: &Server| s.silent_since.get().zip(unusual).is_some_and(|(at, u)| now.since(at) > u);
         let trusted = |s: &&Rc<Server>| draw >= s.distrust(now) && !silent(s);
 
         // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is
         // overfull.
-        let own = || from(circuit.key).filter(usable).find(|s| !overfull(s));
-        // At size most servers are unknown to a proxy, so strain counts for them too: at half on the mean all
-        // circuits gather.
-        const STRAIN_COUNTS: f64 = 2.0;
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
-        let ordinary = if circuit.returned && by_group.is_some() { None } else { own() };
-        if ordinary.filter(|s| circuit.mid_flow || trusted(s) && draw >= STRAIN_COUNTS * self.shelf.strain(now)).is_some() {
-            return ordinary.cloned();
+        if !circuit.returned || by_group.is_none() {
+            let first = circuit.key as usize % servers.len().max(1);
+            let own = servers[first..].iter().chain(&servers[..first]).filter(usable).find(|s| !overfull(s));
+            // Guards against placing by hash in a fleet that is strained where this proxy cannot see it: the
+            // strain seen counts for every server, and twice, so that at half on the mean all circuits gather.
+            const STRAIN_COUNTS: f64 = 2.0;
+            let calm = || draw >= STRAIN_COUNTS * self.shelf.strain(now);
+            if own.is_some_and(|s| circuit.mid_flow || trusted(&s) && calm()) {
+                return own.cloned();
+            }
         }
         // Guards against members of a group straining every server at once: what came back, or found its pick
-        // distrusted, meets its group at the server that the group's hash names at every proxy. Where no
-        // server is trusted enough the circuit is pushed back, so that an overload is not fed.
+        // or the fleet strained, meets its group at the servers that rank first for it at every proxy.
         let by = by_group.unwrap_or(circuit.key);
-        let mut ranked: Vec<_> = servers.iter().filter(active).filter(usable).map(|s| (s.rank(by), s)).collect();
+        let mut ranked: Vec<_> = servers.iter().filter(usable).map(|s| (s.rank(by), s)).collect();
         ranked.sort_unstable_by_key(|r| r.0);
-        let width = by_group.map_or(1, |g| self.groups.width(g, ranked.len())).min(ranked.len());
+        let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()));
         ranked[..width].sort_unstable_by_key(|r| r.1.rank(circuit.key));
-        let order = || ranked.iter().map(|r| r.1).take(width + 2).filter(trusted);
+        // Guards against a strained fleet scattering its groups further: past its group's servers a circuit
+        // tries two more, enough where a fifth of a fleet is slow, and else is pushed back.
+        const MORE: usize = 2;
+        let order = || ranked.iter().map(|r| r.1).take(width + MORE).filter(trusted);
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
@@ -498,15 +494,16 @@
         }
         if connect.ending.is_none() {
             server.held.borrow_mut().insert(circuit.id, Rc::downgrade(circuit));
-            let mut gaps = self.shelf.gaps.borrow_mut();
             // A connection that was open before this proxy started says nothing of the time it took.
-            gaps.extend(Some(now.since(connect.sent)).filter(|g| *g > Span::default()));
-            keep_last(SAMPLES, &mut gaps);
+            if now > connect.sent {
+                keep_last(SAMPLES, now.since(connect.sent), &mut self.shelf.gaps.borrow_mut());
+            }
         }
     }
 }
 
-fn keep_last<T>(most: usize, samples: &mut VecDeque<T>) {
+fn keep_last<T>(most: usize, sample: T, samples: &mut VecDeque<T>) {
+    samples.push_back(sample);
     samples.drain(..samples.len().saturating_sub(most));
 }
 
@@ -517,7 +514,6 @@
     message_limit: Option<Span>,
     most_pause: Span,
     shelf: Rc<Shelf>,
-    groups: Rc<Groups>,
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     list_failures: u32,
@@ -539,8 +535,8 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf { servers: RefCell::default(), gaps: RefCell::default(), seed });
-        let (line, groups) = (Line::default(), Rc::new(Groups::default()));
+        let shelf = Rc::new(Shelf { seed, ..Shelf::default() });
+        let line = Line::default();
         let pacing =
             Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
         Chooser {
@@ -554,11 +550,10 @@
                 Box::new(Reception { most_connects }),
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
                 Box::new(pacing),
-                Box::new(Placement { shelf: shelf.clone(), groups: groups.clone(), warm_up, seed }),
+                Box::new(Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
             ],
             shelf,
-            groups,
             chance: WyRand::new_seed(seed),
             circuits: BTreeMap::new(),
         }
@@ -645,8 +640,8 @@
         let held = server.held.borrow();
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
-        let home = |g| before(g) < self.groups.width(g, active().count());
-        let away = |c: &Rc<Circuit>| c.group.is_some_and(|g| !home(g));
+        let away =
+            |c: &Rc<Circuit>| c.group.is_some_and(|g| before(g) >= self.shelf.width(g, active().count()));
         let guests = held.values().filter_map(Weak::upgrade).filter(|c| away(c) && !c.answered.get());
         if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
             heaviest.answered.set(true);
@@ -692,7 +687,7 @@
             load: Cell::new(0.0),
             connects: RefCell::default(),
         });
-        circuit.group.filter(|_| !circuit.returned).inspect(|g| self.groups.saw(*g));
+        circuit.group.filter(|_| !circuit.returned).inspect(|g| self.shelf.saw_group(*g));
         self.circuits.insert(arrival.circuit, circuit.clone());
         circuit
     }
