--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -149,7 +149,10 @@
                 _ => {}
             },
             "HANGUP" => chooser.left(line.circuit()?),
-            "FIRED" => chooser.woke(line.whole("label")?, now, host),
+            "FIRED" => {
+                line.whole("label")?;
+                chooser.woke(host);
+            }
             // Nothing is decided by these yet, but a malformed one is still a fault.
             "MESSAGE" => drop(line.whole("from")?),
             "STATUS_BACK" => drop(line.required("server")?),
@@ -264,8 +267,8 @@
         self.say(format_args!("LISTEN want=1"));
     }
 
-    fn wake(&mut self, at: Point, label: u64) {
-        self.say(format_args!("SET_TIMER instant_ms={} label={label}", at.as_ms()));
+    fn wake(&mut self, at: Point) {
+        self.say(format_args!("SET_TIMER instant_ms={} label=0", at.as_ms()));
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,9 +11,9 @@
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 2. distrust: a fading score from failures and late messages, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
-//! 4. gathering: what comes back, or finds its pick distrusted, goes by its group's hash in place of its own;
+//! 4. gathering: what comes back, or finds its pick or the fleet strained, goes to its group's servers;
 //! 5. relief: a server whose messages are late has connections sent away that are not with their group;
-//! 6. pacing: where connects fail at several servers at once, circuits wait in line for a turn.
+//! 6. pacing: where connects fail at several servers at once, one circuit a turn goes on.
 //!
 //! A circuit passes the stages `Reception`, `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its
 //! connects pass them in reverse.
@@ -223,10 +223,6 @@
         let (score, at) = self.distrust.get();
         score * 0.5_f64.powf(now.since(at + HOLD).over(HALF_LIFE))
     }
-
-    fn distrust_more(&self, by: f64, now: Point) {
-        self.distrust.set((1.0 - (1.0 - self.distrust(now)) * (1.0 - by), now));
-    }
 }
 
 /// First stage: whether the circuit may have a connect at all.
@@ -236,11 +232,9 @@
 
 impl Stage for Reception {
     fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
-        let spent = circuit.connects.borrow().len() >= self.most_connects || now >= circuit.patience_ends;
-        if spent {
-            Step::End
-        } else {
-            Step::Pass
+        match circuit.connects.borrow().len() < self.most_connects && now < circuit.patience_ends {
+            true => Step::Pass,
+            false => Step::End,
         }
     }
 }
@@ -283,18 +277,11 @@
     }
 }
 
-/// Labels of what the host is asked to wake this proxy for.
-const LIST: u64 = 0;
-const LINE: u64 = 1;
-
-type Line = Rc<RefCell<VecDeque<Rc<Circuit>>>>;
-
-/// Third stage: keeps circuits in line while something that all servers share is jammed.
+/// Third stage: ends most circuits while something that all servers share is jammed.
+#[derive(Default)]
 struct Pacing {
-    line: Line,
     /// The last connects: whether they stood, and where.
     recent: VecDeque<(bool, ServerId)>,
-    bad_in_row: u32,
     next: Point,
 }
 
@@ -309,39 +296,27 @@
 }
 
 impl Stage for Pacing {
-    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, host: &mut dyn Host) -> Step {
-        // A usual connect's length, and how often the line is looked at: well under the shortest of
-        // patiences.
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
+        // A usual connect's length.
         const TURN: Span = Span::millis(40);
         if circuit.mid_flow || !self.jammed() {
             return Step::Pass;
         }
-        // Doubled with each failure in a row, up to about a second.
-        let pause = TURN.times(f64::from(1u32 << self.bad_in_row.min(5)));
-        if now >= self.next {
-            self.next = now + pause;
-            return Step::Pass;
-        }
-        // Guards against a storm of tries that keeps a jam alive: a circuit waits its turn, and where the
-        // line is too long for its patience it is pushed back at once.
-        let mut line = self.line.borrow_mut();
-        if pause.times(line.len() as f64 + 1.0) > circuit.patience_ends.since(now).times(0.5) {
+        // Guards against a storm of tries that keeps a jam alive: one circuit a turn goes on. Turns double with
+        // each failure in a row, up to about a second.
+        if now < self.next {
             return Step::End;
         }
-        if line.is_empty() {
-            host.wake(now + TURN, LINE);
-        }
-        line.push_back(circuit.clone());
-        Step::Keep
+        let bad_in_row = self.recent.iter().rev().take_while(|(stood, _)| !stood).count();
+        self.next = now + TURN.times(f64::from(1u32 << bad_in_row.min(5)));
+        Step::Pass
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
         // A few for each of a handful of servers.
         const SAMPLES: usize = 12;
         if !circuit.stands.get() && !circuit.mid_flow {
-            let stood = connect.ending.is_none();
-            self.bad_in_row = if stood { 0 } else { self.bad_in_row + 1 };
-            keep_last(SAMPLES, (stood, connect.server.id.clone()), &mut self.recent);
+            keep_last(SAMPLES, (connect.ending.is_none(), connect.server.id.clone()), &mut self.recent);
         }
     }
 }
@@ -442,12 +417,12 @@
 
     fn back(&mut self, _: &Rc<Circuit>, connect: &Connect, now: Point) {
         // One bad ending takes half of the trust that is left, one that the server itself gave rather less.
-        let by = match connect.ending {
+        let keeps = match connect.ending {
             Some(Ending::TimedOut | Ending::Unreachable | Ending::Broken) => 0.5,
-            Some(Ending::Errored | Ending::TurnedAway) => 0.3,
-            _ => 0.0,
+            Some(Ending::Errored | Ending::TurnedAway) => 0.7,
+            _ => return,
         };
-        connect.server.distrust_more(by, now);
+        connect.server.distrust.set((1.0 - (1.0 - connect.server.distrust(now)) * keeps, now));
     }
 }
 
@@ -518,7 +493,6 @@
     must_ask_in: Option<Span>,
     list_failures: u32,
     chance: WyRand,
-    line: Line,
     stages: [Box<dyn Stage>; 5],
     /// The door: every circuit unanswered, standing or with a connect still out.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
@@ -536,11 +510,7 @@
         warm_up: WarmUp,
     ) -> Self {
         let shelf = Rc::new(Shelf { seed, ..Shelf::default() });
-        let line = Line::default();
-        let pacing =
-            Pacing { line: line.clone(), recent: VecDeque::new(), bad_in_row: 0, next: Point::default() };
         Chooser {
-            line,
             message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
             most_pause,
@@ -549,7 +519,7 @@
             stages: [
                 Box::new(Reception { most_connects }),
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
-                Box::new(pacing),
+                Box::<Pacing>::default(),
                 Box::new(Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
             ],
@@ -576,12 +546,9 @@
         self.ask_later(now, host);
     }
 
-    pub fn woke(&mut self, label: u64, now: Point, host: &mut dyn Host) {
-        if label == LIST {
-            return host.subscribe();
-        }
-        let line = self.line.take();
-        line.iter().filter(|c| !c.answered.get()).for_each(|c| self.offer(c, now, host));
+    /// The time has come that the host was asked to wake this proxy at.
+    pub fn woke(&mut self, host: &mut dyn Host) {
+        host.subscribe();
     }
 
     pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
@@ -664,7 +631,7 @@
         const FIRST: Span = Span::millis(400);
         let Some(must_ask_in) = self.must_ask_in else { return };
         let pause = self.jittered(FIRST.times(f64::from(1u32 << self.list_failures.min(8))));
-        host.wake(now + pause.min(must_ask_in.times(0.4)), LIST);
+        host.wake(now + pause.min(must_ask_in.times(0.4)));
     }
 
     fn jittered(&mut self, most: Span) -> Span {
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,8 +16,8 @@
     fn send_away(&mut self, circuit: CircuitId);
     /// Asks to be sent every change of the server list from now on.
     fn subscribe(&mut self);
-    /// Asks for a call of `woke` with this label at `at`.
-    fn wake(&mut self, at: Point, label: u64);
+    /// Asks for a call of `woke` at `at`.
+    fn wake(&mut self, at: Point);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 //!     fn forfeit(&mut self, _: CircuitId) {}
 //!     fn send_away(&mut self, _: CircuitId) {}
 //!     fn subscribe(&mut self) {}
-//!     fn wake(&mut self, _: Point, _: u64) {}
+//!     fn wake(&mut self, _: Point) {}
 //! }
 //!
 //! let now = Point::from_ms(1000.0);
