--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -129,6 +129,9 @@
     gaps: RefCell<VecDeque<Span>>,
     /// The groups of the last circuits that came for the first time.
     groups: RefCell<VecDeque<u64>>,
+    /// How many connects are out.
+    out: Cell<u32>,
+    window: Cell<f64>,
     seed: u64,
 }
 
@@ -277,47 +280,32 @@
     }
 }
 
-/// Third stage: ends most circuits while something that all servers share is jammed.
-#[derive(Default)]
+/// Third stage: keeps to as many connects at once as something that all servers share can bear.
 struct Pacing {
-    /// The last connects: whether they stood, and where.
-    recent: VecDeque<(bool, ServerId)>,
-    next: Point,
-}
-
-impl Pacing {
-    /// A bad server fails alone; a jam shows in most of the last connects, and at several servers.
-    fn jammed(&self) -> bool {
-        // More than chance brings together, even of a small list.
-        const SERVERS: usize = 3;
-        let bad: Vec<&ServerId> = self.recent.iter().filter(|(stood, _)| !stood).map(|(_, s)| s).collect();
-        bad.len() * 2 > self.recent.len() && bad.iter().collect::<BTreeSet<_>>().len() >= SERVERS
-    }
+    shelf: Rc<Shelf>,
 }
 
 impl Stage for Pacing {
-    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
-        // A usual connect's length.
-        const TURN: Span = Span::millis(40);
-        if circuit.mid_flow || !self.jammed() {
-            return Step::Pass;
-        }
-        // Guards against a storm of tries that keeps a jam alive: one circuit a turn goes on. Turns double with
-        // each failure in a row, up to about a second.
-        if now < self.next {
-            return Step::End;
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, _: Point, _: &mut dyn Host) -> Step {
+        // Guards against a storm of tries that keeps a jam alive.
+        match circuit.mid_flow || f64::from(self.shelf.out.get()) < self.shelf.window.get() {
+            true => Step::Pass,
+            false => Step::End,
         }
-        let bad_in_row = self.recent.iter().rev().take_while(|(stood, _)| !stood).count();
-        self.next = now + TURN.times(f64::from(1u32 << bad_in_row.min(5)));
-        Step::Pass
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
-        // A few for each of a handful of servers.
-        const SAMPLES: usize = 12;
-        if !circuit.stands.get() && !circuit.mid_flow {
-            keep_last(SAMPLES, (connect.ending.is_none(), connect.server.id.clone()), &mut self.recent);
+        // More than this proxy ever has out in a calm hour.
+        const MOST: f64 = 16.0;
+        if circuit.stands.get() || circuit.mid_flow {
+            return;
         }
+        let window = self.shelf.window.get();
+        self.shelf.window.set(match connect.ending {
+            None => (window + 1.0 / window).min(MOST),
+            Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(1.0),
+            _ => window,
+        });
     }
 }
 
@@ -442,13 +430,15 @@
         let half = left.times(0.5);
         let time_out = match self.shelf.unusual_after() {
             _ if last || circuit.effect == Effect::SingleUse => left,
-            Some(unusual) => unusual.max(left.times(0.25)).min(half),
+            Some(unusual) if unusual > half => left,
+            Some(unusual) => unusual.max(left.times(0.25)),
             None => half,
         };
         host.connect(circuit.id, &server.id, time_out);
         let (budget, at) = server.budget.get();
         server.budget.set((budget - 1.0, at));
         server.waiting.set(server.waiting.get() + 1);
+        self.shelf.out.set(self.shelf.out.get() + 1);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
         Step::Keep
@@ -463,6 +453,7 @@
             return;
         }
         server.waiting.set(server.waiting.get().saturating_sub(1));
+        self.shelf.out.set(self.shelf.out.get().saturating_sub(1));
         let word = connect.ending != Some(Ending::TimedOut);
         if word || server.waiting.get() == 0 {
             server.silent_since.set((server.waiting.get() > 0).then_some(now));
@@ -509,7 +500,7 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf { seed, ..Shelf::default() });
+        let shelf = Rc::new(Shelf { seed, window: Cell::new(16.0), ..Shelf::default() });
         Chooser {
             message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
@@ -519,7 +510,7 @@
             stages: [
                 Box::new(Reception { most_connects }),
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
-                Box::<Pacing>::default(),
+                Box::new(Pacing { shelf: shelf.clone() }),
                 Box::new(Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
             ],
@@ -595,7 +586,7 @@
         // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
         let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
         connect.server.distrust.set((late.max(connect.server.distrust(now)), now));
-        if late > 0.5 {
+        if late > 0.5 && f64::from(self.shelf.out.get()) < self.shelf.window.get() {
             self.relieve(&connect.server, host);
         }
     }
