--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,8 +12,8 @@
 //! 2. distrust: a fading score from failures and late messages, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
 //! 4. gathering: what comes back, or finds its pick or the fleet strained, goes to its group's servers;
-//! 5. relief: a server whose messages are late has connections sent away that are not with their group;
-//! 6. pacing: where connects fail at several servers at once, one circuit a turn goes on.
+//! 5. relief: a server whose messages are late has connections sent away, first those not with their group;
+//! 6. pacing: failed connects narrow how many may be out at once.
 //!
 //! A circuit passes the stages `Reception`, `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its
 //! connects pass them in reverse.
@@ -129,13 +129,20 @@
     gaps: RefCell<VecDeque<Span>>,
     /// The groups of the last circuits that came for the first time.
     groups: RefCell<VecDeque<u64>>,
-    /// How many connects are out.
+    /// How many connects are out, and how many may be.
     out: Cell<u32>,
     window: Cell<f64>,
     seed: u64,
 }
 
 impl Shelf {
+    // More than a proxy has out in a calm minute, few enough that four halvings reach one.
+    const WIDEST: f64 = 16.0;
+
+    fn has_turn(&self) -> bool {
+        f64::from(self.out.get()) < self.window.get()
+    }
+
     fn find(&self, id: &str) -> Option<Rc<Server>> {
         let servers = self.servers.borrow();
         servers.binary_search_by(|s| s.id.as_ref().cmp(id)).ok().map(|i| servers[i].clone())
@@ -288,21 +295,19 @@
 impl Stage for Pacing {
     fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, _: Point, _: &mut dyn Host) -> Step {
         // Guards against a storm of tries that keeps a jam alive.
-        match circuit.mid_flow || f64::from(self.shelf.out.get()) < self.shelf.window.get() {
+        match circuit.mid_flow || self.shelf.has_turn() {
             true => Step::Pass,
             false => Step::End,
         }
     }
 
+    /// Halves the window with each connect that a jam may have failed, and widens it by one where a whole
+    /// window stood.
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
-        // More than this proxy ever has out in a calm hour.
-        const MOST: f64 = 16.0;
-        if circuit.stands.get() || circuit.mid_flow {
-            return;
-        }
         let window = self.shelf.window.get();
         self.shelf.window.set(match connect.ending {
-            None => (window + 1.0 / window).min(MOST),
+            _ if circuit.stands.get() || circuit.mid_flow => window,
+            None => (window + 1.0 / window).min(Shelf::WIDEST),
             Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(1.0),
             _ => window,
         });
@@ -375,7 +380,7 @@
             let first = circuit.key as usize % servers.len().max(1);
             let own = servers[first..].iter().chain(&servers[..first]).filter(usable).find(|s| !overfull(s));
             // Guards against placing by hash in a fleet that is strained where this proxy cannot see it: the
-            // strain seen counts for every server, and twice, so that at half on the mean all circuits gather.
+            // strain seen counts for every server, and twice: at half on the mean all circuits gather.
             const STRAIN_COUNTS: f64 = 2.0;
             let calm = || draw >= STRAIN_COUNTS * self.shelf.strain(now);
             if own.is_some_and(|s| circuit.mid_flow || trusted(&s) && calm()) {
@@ -500,7 +505,7 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf { seed, window: Cell::new(16.0), ..Shelf::default() });
+        let shelf = Rc::new(Shelf { seed, window: Cell::new(Shelf::WIDEST), ..Shelf::default() });
         Chooser {
             message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
@@ -580,30 +585,34 @@
 
     /// Messages of a standing connection take this long at its server.
     pub fn messages_take(&mut self, circuit: CircuitId, delay: Span, now: Point, host: &mut dyn Host) {
+        // Beyond three times the limit work has piled up: gathering alone no longer helps.
+        const PILED_UP: f64 = 3.0;
         let Some(circuit) = self.circuits.get(&circuit) else { return };
         let connects = circuit.connects.borrow();
         let (Some(connect), Some(limit)) = (connects.last(), self.message_limit) else { return };
         // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
         let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
         connect.server.distrust.set((late.max(connect.server.distrust(now)), now));
-        if late > 0.5 && f64::from(self.shelf.out.get()) < self.shelf.window.get() {
-            self.relieve(&connect.server, host);
+        // What is sent away should find a turn when it is back.
+        if late > 0.0 && self.shelf.has_turn() {
+            self.relieve(&connect.server, delay.over(limit) > PILED_UP, host);
         }
     }
 
-    /// Guards against a strained server keeping its share: sends away the heaviest connection that is not
-    /// where its group's hash would have it.
-    fn relieve(&self, server: &Rc<Server>, host: &mut dyn Host) {
+    /// Guards against a strained server keeping its share: sends away its heaviest guest, which is one that
+    /// stands outside its group's servers; where work has `piled_up`, anyone if there is no guest.
+    fn relieve(&self, server: &Rc<Server>, piled_up: bool, host: &mut dyn Host) {
         let servers = self.shelf.servers.borrow();
-        let held = server.held.borrow();
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
-        let away =
-            |c: &Rc<Circuit>| c.group.is_some_and(|g| before(g) >= self.shelf.width(g, active().count()));
-        let guests = held.values().filter_map(Weak::upgrade).filter(|c| away(c) && !c.answered.get());
-        if let Some(heaviest) = guests.max_by(|a, b| a.load.get().total_cmp(&b.load.get())) {
-            heaviest.answered.set(true);
-            host.send_away(heaviest.id);
+        let guest = |g| before(g) >= self.shelf.width(g, active().count());
+        let held: Vec<_> = server.held.borrow().values().filter_map(Weak::upgrade).collect();
+        let weighed =
+            held.iter().filter(|c| !c.answered.get()).map(|c| (c.group.is_some_and(guest), c.load.get(), c));
+        let first = weighed.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        if let Some((_, _, circuit)) = first.filter(|(guest, ..)| *guest || piled_up) {
+            circuit.answered.set(true);
+            host.send_away(circuit.id);
         }
     }
 
