--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,6 +1,5 @@
 //! Speaks the simulator's wire on standard input and output and hosts any number of separate instances.
 
-mod birth;
 mod wire;
 
 use anyhow::{bail, Context, Result};
@@ -106,8 +105,8 @@
 
     fn event(&mut self, who: u64, line: &Line) -> Result<()> {
         if line.name == "BORN" {
-            let (chooser, offerings) = birth::parse(line.whole("salt")?, line.required("env")?)?;
-            self.instances.insert(who, Instance { chooser, offerings });
+            let terms = shelfgrade_terms::parse(line.whole("salt")?, line.required("env")?).context("env")?;
+            self.instances.insert(who, Instance { chooser: terms.chooser, offerings: terms.offerings });
             return Ok(());
         }
         if line.name == "HALT" {
--- /dev/null
+++ b/crates/proxy/src/circuit.rs
@@ -0,0 +1,183 @@
+//! A circuit on sockets: the client's side, the server's side, and the two rings between them.
+//!
+//! Each direction ends by itself: `up_end` and `down_end` say how, once that is known, and the side that it
+//! leads to is ended the same way after the last byte of its ring.
+
+use crate::line::{Cutter, TooLong};
+use crate::proxy::Proxy;
+use crate::ring::Ring;
+use crate::server::Connect;
+use crate::socket::{End, Socket};
+use shelfgrade::host::{CircuitId, Ending};
+use shelfgrade::time::{Point, Span};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::{Rc, Weak};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The client has yet to send its first line.
+    Greeting,
+    /// The module is finding it a server.
+    Asking,
+    /// It stands: lines pass both ways.
+    Standing,
+    /// Over for the module; what is left to write is being written.
+    Leaving,
+}
+
+pub struct Circuit {
+    pub id: CircuitId,
+    pub stage: Cell<Stage>,
+    /// When that stage began.
+    pub since: Cell<Point>,
+    pub client: Socket,
+    pub from_client: RefCell<Cutter>,
+    /// The first line, without its end.
+    pub opening: RefCell<String>,
+    pub connect: RefCell<Option<Rc<Connect>>>,
+    pub up: RefCell<Ring>,
+    pub down: RefCell<Ring>,
+    pub up_end: Cell<Option<End>>,
+    pub down_end: Cell<Option<End>>,
+    /// Since when it waits for the end of a line, to send its client away.
+    pub leaving_line: Cell<Option<Point>>,
+    /// When the client's lines that nothing has come back for were read.
+    pub asked: RefCell<VecDeque<Point>>,
+    pub me: Weak<Circuit>,
+}
+
+impl Circuit {
+    pub fn new(id: CircuitId, client: Socket, ring: usize, now: Point) -> Rc<Self> {
+        Rc::new_cyclic(|me| Circuit {
+            id,
+            stage: Cell::new(Stage::Greeting),
+            since: Cell::new(now),
+            client,
+            from_client: RefCell::default(),
+            opening: RefCell::default(),
+            connect: RefCell::default(),
+            up: RefCell::new(Ring::new(ring)),
+            down: RefCell::new(Ring::new(ring)),
+            up_end: Cell::default(),
+            down_end: Cell::default(),
+            leaving_line: Cell::default(),
+            asked: RefCell::default(),
+            me: me.clone(),
+        })
+    }
+
+    pub fn enter(&self, stage: Stage, now: Point) {
+        self.stage.set(stage);
+        self.since.set(now);
+    }
+
+    /// One of its sockets may have become readable or writable.
+    pub fn ready(&self, proxy: &mut Proxy) {
+        // Guards against one busy circuit starving the rest: it goes on after the others had their turn.
+        const ROUNDS: usize = 32;
+        for _ in 0..ROUNDS {
+            let heard = self.hear_client(proxy) | self.hear_server(proxy);
+            if !(self.flush() | heard) {
+                return self.wind_up(proxy);
+            }
+        }
+        proxy.hands.call_again(self);
+    }
+
+    /// Writes what can be written, and ends the sides that have had their last byte.
+    pub fn flush(&self) -> bool {
+        let connect = self.connect.borrow().clone();
+        let (mut up, mut down) = (self.up.borrow_mut(), self.down.borrow_mut());
+        let mut written = 0;
+        if let Some(connect) = connect.as_ref().filter(|c| c.is_up()) {
+            written += connect.socket.write(&mut up);
+            if let (Some(end), true) = (self.up_end.get(), up.is_empty()) {
+                connect.socket.end(end);
+            }
+        }
+        if matches!(self.stage.get(), Stage::Standing | Stage::Leaving) {
+            written += self.client.write(&mut down);
+            if let (Some(end), true) = (self.down_end.get(), down.is_empty()) {
+                self.client.end(end);
+            }
+        }
+        written > 0
+    }
+
+    /// The server has ended a standing connection: the client's side ends the same way.
+    pub fn server_ended(&self, how: End, ending: Ending, proxy: &mut Proxy) {
+        self.down_end.set(Some(how));
+        self.up_end.set(Some(how));
+        self.over_for_module(ending, proxy);
+    }
+
+    /// The circuit has ended for the module, with all said that the client will hear of it.
+    pub fn over_for_module(&self, ending: Ending, proxy: &mut Proxy) {
+        if self.stage.get() == Stage::Standing {
+            self.enter(Stage::Leaving, proxy.now());
+            proxy.ended(self.id, ending, true);
+        }
+    }
+
+    /// A peer has broken the protocol: its connection ends, and the circuit with it.
+    pub fn foul(&self, _: TooLong, proxy: &mut Proxy) {
+        log::warn!("circuit {}: a line over the longest", self.id.0);
+        proxy.hands.tally.count("long lines");
+        if self.stage.get() == Stage::Asking {
+            return self.give_up(proxy);
+        }
+        self.server_ended(End::Fin, Ending::Broken, proxy);
+        self.enter(Stage::Leaving, proxy.now());
+    }
+
+    /// Sends the client away as soon as the server's last line has ended; true once that is done.
+    pub fn try_moving(&self, now: Point) -> bool {
+        let between = self.connect.borrow().as_ref().is_some_and(|c| c.between_lines());
+        let moved = between && self.down.borrow_mut().push(b"MOVE\r\n");
+        if moved {
+            self.leaving_line.set(None);
+            self.down_end.set(Some(End::Fin));
+            self.up_end.set(Some(End::Fin));
+            self.enter(Stage::Leaving, now);
+            self.flush();
+        }
+        moved
+    }
+
+    /// Forgets the circuit once both sides have ended.
+    pub fn wind_up(&self, proxy: &mut Proxy) {
+        let server_over = || self.connect.borrow().as_ref().is_none_or(|c| c.socket.is_over());
+        if self.stage.get() == Stage::Leaving && self.client.is_over() && server_over() {
+            proxy.hands.forget(self.id);
+        }
+    }
+
+    /// Looks after what no event comes for.
+    pub fn beat(&self, proxy: &mut Proxy) {
+        // Long for a client on any network; it holds a descriptor meanwhile.
+        const FIRST_LINE_WITHIN: Span = Span::millis(30_000);
+        // Long enough for a peer to end its side too, short enough to free the descriptors.
+        const LAST_BYTES_WITHIN: Span = Span::millis(2000);
+        // A line begun by the server must not be held up for longer than a second.
+        const LINE_ENDS_WITHIN: Span = Span::millis(800);
+        let now = proxy.now();
+        let past = now.since(self.since.get());
+        match self.stage.get() {
+            Stage::Greeting if past > FIRST_LINE_WITHIN => proxy.hands.forget(self.id),
+            Stage::Leaving if past > LAST_BYTES_WITHIN => proxy.hands.forget(self.id),
+            Stage::Standing => {
+                if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) {
+                    proxy.hands.tally.count("moved inside a line");
+                    self.server_ended(End::Fin, Ending::CalledOff, proxy);
+                    self.flush();
+                }
+                let waits = self.asked.borrow().front().map(|asked| now.since(*asked));
+                if let Some(waits) = waits {
+                    proxy.silent(self.id, waits);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/clock.rs
@@ -0,0 +1,25 @@
+//! The host's clock: monotonic, and set by Unix time once, so that a server's start can be told on it.
+
+use shelfgrade::time::{Point, Span};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    began: Instant,
+    unix_then: Point,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), unix_then: Point::from_ms(unix.as_secs_f64() * 1000.0) }
+    }
+
+    pub fn now(&self) -> Point {
+        self.unix_then + Span::from_ms(self.began.elapsed().as_secs_f64() * 1000.0)
+    }
+}
+
+pub fn duration(span: Span) -> Duration {
+    Duration::from_secs_f64(span.as_ms() / 1000.0)
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,19 @@
+//! A balancer for long-lived connections on real sockets, built round the decisions of the crate `shelfgrade`.
+//!
+//! [`start::Start`] holds what a proxy is told at its start; [`proxy::serve`] runs it on one thread and one
+//! loop until it is told to end. The decisions are the module's; this crate carries them out.
+
+pub mod start;
+
+mod circuit;
+mod client;
+mod clock;
+mod discovery;
+mod line;
+mod listing;
+pub mod proxy;
+mod pulse;
+mod ring;
+mod server;
+mod socket;
+mod tally;
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,14 @@
+//! The real proxy: reads what it is told at its start, and serves until it is told to end.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match shelfgrade_proxy::start::Start::from_environment().and_then(shelfgrade_proxy::proxy::serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            log::error!("{fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/proxy.rs
@@ -0,0 +1,492 @@
+//! The proxy: owns the decisions, hears from the sockets, and carries out what is decided.
+
+use crate::circuit::{Circuit, Stage};
+use crate::client::busy;
+use crate::clock::{duration, Clock};
+use crate::discovery::Discovery;
+use crate::line::Open;
+use crate::listing::Listing;
+use crate::server::{Connect, Server};
+use crate::socket::Socket;
+use crate::start::{Limits, Start};
+use crate::tally::Tally;
+use anyhow::{Context, Result};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, LoopHandle, LoopSignal, Mode, PostAction, RegistrationToken};
+use shelfgrade::choice::Chooser;
+use shelfgrade::host::{Arrival, CircuitId, Ending, Host, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use std::cell::Cell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often what no event comes for is looked after.
+const BEAT: Duration = Duration::from_millis(100);
+
+pub struct Proxy {
+    pub chooser: Chooser,
+    pub hands: Hands,
+    /// The offerings' names in their order.
+    pub offerings: Vec<String>,
+    discovery: Rc<Discovery>,
+    listener: TcpListener,
+    listening: RegistrationToken,
+    passes_through: bool,
+    stop: LoopSignal,
+    pulses_taken: Point,
+    /// Since when it has been told to end, and when the last circuit came.
+    told_to_end: Option<Point>,
+    last_arrival: Point,
+}
+
+/// What carries out the decisions.
+pub struct Hands {
+    pub handle: LoopHandle<'static, Proxy>,
+    pub tally: Rc<Tally>,
+    pub dial_time_out: Option<Span>,
+    clock: Clock,
+    servers: BTreeMap<ServerId, Rc<Server>>,
+    standings: BTreeMap<ServerId, Standing>,
+    /// The door: from the module's names to connections.
+    circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    last_id: u64,
+    most_circuits: usize,
+    ring: usize,
+    /// What came of a call while the module was speaking, to be told when it has finished.
+    untold: VecDeque<(CircuitId, Ending, bool)>,
+    wants_list: Cell<bool>,
+}
+
+/// Serves until told to end.
+pub fn serve(start: Start) -> Result<()> {
+    // Few enough to leave the listener, discovery and the log their own.
+    const SPARE: u64 = 32;
+    // Two descriptors and two rings a circuit; rings may take half of the memory.
+    let most_circuits = (start.limits.sockets.saturating_sub(SPARE) / 2).max(1);
+    let ring = ring_size(start.limits, most_circuits);
+    let _ = raise_descriptors(start.limits.sockets);
+
+    let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().context("event loop")?;
+    let handle = events.handle();
+    let listener = listen(start.listen).with_context(|| format!("cannot listen on {}", start.listen))?;
+    let listening = watch_listener(&handle, &listener)?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).context("signals")?;
+    let signals = handle.insert_source(signals, |_, _, proxy| proxy.told_to_end());
+    signals.map_err(|fault| fault.error).context("signals")?;
+    let beat = handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
+        proxy.beat();
+        TimeoutAction::ToDuration(BEAT)
+    });
+    beat.map_err(|fault| fault.error).context("timer")?;
+
+    let clock = Clock::start();
+    let tally = Rc::new(Tally::default());
+    let seq = Some(start.known.seq).filter(|_| !start.known.entries.is_empty());
+    let mut proxy = Proxy {
+        chooser: start.terms.chooser,
+        hands: Hands {
+            handle,
+            tally: tally.clone(),
+            dial_time_out: start.terms.dial_time_out,
+            clock,
+            servers: BTreeMap::new(),
+            standings: BTreeMap::new(),
+            circuits: BTreeMap::new(),
+            last_id: 0,
+            most_circuits: most_circuits as usize,
+            ring,
+            untold: VecDeque::new(),
+            wants_list: Cell::new(false),
+        },
+        offerings: start.terms.offerings,
+        discovery: Discovery::new(start.discovery, seq),
+        listener,
+        listening,
+        passes_through: start.terms.passes_through,
+        stop: events.get_signal(),
+        pulses_taken: clock.now(),
+        told_to_end: None,
+        last_arrival: clock.now(),
+    };
+    proxy.hands.follow(&start.known);
+    proxy.chooser.start(&start.known.lines(), clock.now(), &mut proxy.hands);
+    proxy.settle();
+    log::info!("{} listens on {}, {} servers known", start.name, start.listen, proxy.hands.servers.len());
+    events.run(None, &mut proxy, |_| {}).context("event loop")?;
+    tally.log();
+    Ok(())
+}
+
+/// The size of one ring: so that all of them take half of the memory at most.
+fn ring_size(limits: Limits, most_circuits: u64) -> usize {
+    // Room for two of the longest lines; more than four buys nothing for lines this short.
+    let (least, most) = (8 << 10, 16 << 10);
+    ((limits.memory_mb << 20) / 2 / (2 * most_circuits)).clamp(least, most) as usize
+}
+
+fn raise_descriptors(wanted: u64) -> rustix::io::Result<()> {
+    use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    let reachable = maximum.map_or(wanted, |m| m.min(wanted));
+    match current {
+        Some(current) if current < reachable => {
+            setrlimit(Resource::Nofile, Rlimit { current: Some(reachable), maximum })
+        }
+        _ => Ok(()),
+    }
+}
+
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    // Room for all clients to come at once; the system caps it.
+    const BACKLOG: i32 = 4096;
+    let socket =
+        socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM.cloexec(), None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+fn watch_listener(handle: &LoopHandle<'static, Proxy>, listener: &TcpListener) -> Result<RegistrationToken> {
+    let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
+    let token = handle.insert_source(source, |_, _, proxy| {
+        proxy.accept();
+        Ok(PostAction::Continue)
+    });
+    token.map_err(|fault| fault.error).context("listener")
+}
+
+impl Proxy {
+    pub fn now(&self) -> Point {
+        self.hands.clock.now()
+    }
+
+    /// Whether circuits can be taken: there is a list to choose from.
+    pub fn is_ready(&self) -> bool {
+        !self.hands.servers.is_empty()
+    }
+
+    fn accept(&mut self) {
+        // Guards against a storm of clients starving those that are there.
+        const AT_ONCE: usize = 64;
+        for _ in 0..AT_ONCE {
+            match self.listener.accept() {
+                Ok((stream, _)) => match Socket::new(stream) {
+                    Ok(socket) => self.take_in(socket),
+                    Err(fault) => log::warn!("a client's socket: {fault}"),
+                },
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return,
+                Err(fault)
+                    if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(fault) => {
+                    // Guards against spinning where descriptors have run out: it accepts again later.
+                    self.hands.tally.count("accepting put off");
+                    log::warn!("accept: {fault}");
+                    let _ = self.hands.handle.disable(&self.listening);
+                    let later = Timer::from_duration(BEAT);
+                    let again = self.hands.handle.insert_source(later, |_, _, proxy| {
+                        let _ = proxy.hands.handle.enable(&proxy.listening);
+                        proxy.accept();
+                        TimeoutAction::Drop
+                    });
+                    self.hands.tally.must(again.is_ok(), "a timer can be set");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take_in(&mut self, client: Socket) {
+        self.hands.tally.count("connections taken");
+        let id = self.hands.next_id();
+        let circuit = Circuit::new(id, client, self.hands.ring, self.now());
+        let weak = circuit.me.clone();
+        let watched = circuit.client.watch(&self.hands.handle, move |proxy| {
+            weak.upgrade().inspect(|circuit| circuit.ready(proxy));
+        });
+        match watched {
+            Ok(()) => drop(self.hands.circuits.insert(id, circuit)),
+            Err(fault) => log::warn!("a client's socket: {fault}"),
+        }
+    }
+
+    pub fn arrived(&mut self, arrival: &Arrival) {
+        self.hands.tally.count("circuits");
+        let now = self.now();
+        self.last_arrival = now;
+        self.chooser.arrived(arrival, now, &mut self.hands);
+        self.settle();
+    }
+
+    /// The circuit's connection is up.
+    pub fn stands(&mut self, circuit: &Circuit, server: &ServerId) {
+        let now = self.now();
+        let opening = circuit.opening.borrow();
+        match Open::parse(&opening).filter(|open| open.field("at").is_some()) {
+            Some(open) => {
+                let arrival = Arrival {
+                    circuit: circuit.id,
+                    offering: open.field("c").and_then(|c| self.offerings.iter().position(|o| o == c)),
+                    key: Some(open.key),
+                    group: open.field("g"),
+                    patience_ends: now,
+                    mid_flow: false,
+                    returned: false,
+                };
+                self.chooser.open_already(&arrival, server, now);
+            }
+            None => {
+                self.hands.tally.count("connections up");
+                self.chooser.stands(circuit.id, now);
+            }
+        }
+    }
+
+    /// A connect, or a standing connection, has ended; `done` where the client's side has its end by that.
+    pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool) {
+        let now = self.now();
+        self.chooser.ended(circuit, ending, done, now, &mut self.hands);
+        self.settle();
+    }
+
+    /// The client has left before its answer; the connect that was out has ended with it.
+    pub fn left(&mut self, circuit: CircuitId) {
+        self.chooser.left(circuit);
+        self.ended(circuit, Ending::CalledOff, true);
+    }
+
+    /// Whether a connect that has come up may still send its first line.
+    pub fn may_begin(&self, circuit: &Circuit) -> bool {
+        let connect = circuit.connect.borrow();
+        let id = connect.as_ref().map(|c| c.server.id.clone());
+        circuit.is_taken_over()
+            || id.is_some_and(|id| self.hands.standings.get(&id) == Some(&Standing::Active))
+    }
+
+    /// Nothing has come back for this long to a line of a standing connection.
+    pub fn silent(&mut self, circuit: CircuitId, waits: Span) {
+        let _ = (circuit, waits);
+    }
+
+    /// Carries out a move that waited for the end of a line.
+    pub fn move_now(&mut self, circuit: &Circuit) {
+        let now = self.now();
+        if circuit.try_moving(now) {
+            self.ended(circuit.id, Ending::CalledOff, true);
+        }
+    }
+
+    pub fn listed(&mut self, listing: &Listing) {
+        let now = self.now();
+        log::debug!("list {}: {} lines, whole {}", listing.seq, listing.entries.len(), listing.whole);
+        self.hands.follow(listing);
+        self.chooser.listed(&listing.lines(), listing.whole, now);
+        self.hands.take_over_waiting();
+        self.settle();
+    }
+
+    pub fn list_failed(&mut self) {
+        self.hands.tally.count("list calls failed");
+        let now = self.now();
+        self.chooser.list_failed(now, &mut self.hands);
+        self.settle();
+    }
+
+    /// Tells the module what came of its own calls.
+    fn settle(&mut self) {
+        while let Some((circuit, ending, done)) = self.hands.untold.pop_front() {
+            let now = self.now();
+            self.chooser.ended(circuit, ending, done, now, &mut self.hands);
+        }
+        if self.hands.wants_list.take() {
+            self.discovery.clone().call(self);
+        }
+    }
+
+    fn beat(&mut self) {
+        let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
+        circuits.iter().for_each(|circuit| circuit.beat(self));
+        self.tell_pulses();
+        self.end_when_done(&circuits);
+    }
+
+    /// Once a second the module hears how long messages take at each server.
+    fn tell_pulses(&mut self) {
+        const EVERY: Span = Span::millis(1000);
+        let now = self.now();
+        if now.since(self.pulses_taken) < EVERY {
+            return;
+        }
+        self.pulses_taken = now;
+        let servers: Vec<_> = self.hands.servers.values().cloned().collect();
+        for server in servers {
+            if let Some((took, circuit)) = server.pulse.take() {
+                log::debug!("messages at {} take {} ms", server.id, took.as_ms());
+                self.chooser.messages_take(circuit.id, took, now, &mut self.hands);
+                self.settle();
+            }
+        }
+    }
+
+    fn told_to_end(&mut self) {
+        log::info!("told to end, with {} connections", self.hands.circuits.len());
+        let now = self.now();
+        self.told_to_end.get_or_insert(now);
+    }
+
+    /// Ends when no more circuits come and all that came are answered.
+    fn end_when_done(&mut self, circuits: &[Rc<Circuit>]) {
+        // Clients go on coming for a little while after the signal.
+        const QUIET_FOR: Span = Span::millis(500);
+        let now = self.now();
+        let Some(told) = self.told_to_end else { return };
+        if now.since(told) < QUIET_FOR || now.since(self.last_arrival) < QUIET_FOR {
+            return;
+        }
+        let unanswered = circuits.iter().any(|c| match c.stage.get() {
+            Stage::Asking => true,
+            Stage::Leaving => !c.client.is_over(),
+            Stage::Standing => !self.passes_through,
+            Stage::Greeting => false,
+        });
+        if !unanswered {
+            self.stop.stop();
+        }
+    }
+}
+
+impl Hands {
+    fn next_id(&mut self) -> CircuitId {
+        self.last_id += 1;
+        CircuitId(self.last_id)
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.circuits.len() > self.most_circuits
+    }
+
+    pub fn forget(&mut self, circuit: CircuitId) {
+        self.circuits.remove(&circuit);
+    }
+
+    /// Has a circuit go on after the others had their turn.
+    pub fn call_again(&self, circuit: &Circuit) {
+        let weak = circuit.me.clone();
+        let again = self.handle.insert_source(Timer::immediate(), move |_, _, proxy| {
+            weak.upgrade().inspect(|circuit| circuit.ready(proxy));
+            TimeoutAction::Drop
+        });
+        self.tally.must(again.is_ok(), "a timer can be set");
+    }
+
+    fn follow(&mut self, listing: &Listing) {
+        let lines = listing.lines();
+        if listing.whole {
+            self.standings.retain(|id, _| lines.iter().any(|l| l.server == *id));
+        }
+        for (line, entry) in lines.iter().zip(&listing.entries) {
+            self.standings.insert(line.server.clone(), line.standing);
+            let Some(dial) = entry.dial else { continue };
+            let server = self.servers.entry(line.server.clone()).or_insert_with(|| {
+                Rc::new(Server { id: line.server.clone(), dial: Cell::new(dial), pulse: Default::default() })
+            });
+            server.dial.set(dial);
+        }
+    }
+
+    /// Connects a circuit to the server that its line names, or leaves it for when the list names that one.
+    pub fn take_over(&mut self, circuit: &Circuit) {
+        // The run begins when all such are up, and waits no longer than this.
+        const WITHIN: Span = Span::millis(40_000);
+        let server = Open::parse(&circuit.opening.borrow())
+            .and_then(|open| self.servers.get(open.field("at")?).cloned());
+        let (Some(server), Some(circuit)) = (server, circuit.me.upgrade()) else { return };
+        match Connect::begin(&circuit, server, WITHIN, self.clock.now(), self) {
+            Ok(connect) => drop(circuit.connect.replace(Some(connect))),
+            Err(fault) => {
+                log::warn!("circuit {}: {fault}", circuit.id.0);
+                circuit.answer("ERR", self.clock.now());
+            }
+        }
+    }
+
+    fn take_over_waiting(&mut self) {
+        let waits = |c: &&Rc<Circuit>| {
+            c.stage.get() == Stage::Asking && c.connect.borrow().is_none() && c.is_taken_over()
+        };
+        let waiting: Vec<_> = self.circuits.values().filter(waits).cloned().collect();
+        waiting.iter().for_each(|circuit| self.take_over(circuit));
+    }
+}
+
+impl Host for Hands {
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span) {
+        let (found, server) = (self.circuits.get(&circuit).cloned(), self.servers.get(server).cloned());
+        self.tally
+            .must(found.is_some() && server.is_some(), "a connect is for a circuit and a server that are");
+        let begun = match (&found, server) {
+            (Some(found), Some(server)) => {
+                self.tally.must(found.connect.borrow().is_none(), "one connect at a time");
+                Connect::begin(found, server, time_out, self.clock.now(), self)
+            }
+            _ => return self.untold.push_back((circuit, Ending::Moot, false)),
+        };
+        match (begun, found) {
+            (Ok(connect), Some(found)) => drop(found.connect.replace(Some(connect))),
+            (Err(fault), _) => {
+                // Out of descriptors, or refused at once: nothing was sent.
+                log::warn!("circuit {}: {fault}", circuit.0);
+                let refused = fault.kind() == ErrorKind::ConnectionRefused;
+                let ending = if refused { Ending::Unreachable } else { Ending::Moot };
+                self.untold.push_back((circuit, ending, false));
+            }
+            _ => {}
+        }
+    }
+
+    fn push_back(&mut self, circuit: CircuitId, pause: Span) {
+        self.tally.count("pushed back");
+        if let Some(circuit) = self.circuits.get(&circuit) {
+            circuit.answer(&busy(pause), self.clock.now());
+        }
+    }
+
+    fn forfeit(&mut self, circuit: CircuitId) {
+        self.tally.count("forfeited");
+        if let Some(circuit) = self.circuits.get(&circuit) {
+            circuit.answer("ERR", self.clock.now());
+        }
+    }
+
+    fn send_away(&mut self, circuit: CircuitId) {
+        self.tally.count("sent away");
+        let now = self.clock.now();
+        let Some(circuit) = self.circuits.get(&circuit).filter(|c| c.stage.get() == Stage::Standing) else {
+            return;
+        };
+        circuit.leaving_line.set(Some(now));
+        if circuit.try_moving(now) {
+            self.untold.push_back((circuit.id, Ending::CalledOff, true));
+        }
+    }
+
+    fn subscribe(&mut self) {
+        self.wants_list.set(true);
+    }
+
+    fn wake(&mut self, at: Point) {
+        let timer = Timer::from_duration(duration(at.since(self.clock.now())));
+        let set = self.handle.insert_source(timer, |_, _, proxy| {
+            proxy.chooser.woke(&mut proxy.hands);
+            proxy.settle();
+            TimeoutAction::Drop
+        });
+        self.tally.must(set.is_ok(), "a timer can be set");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pulse.rs
@@ -0,0 +1,35 @@
+//! How long messages take at a server: what the connections that stand there have seen of late.
+
+use crate::circuit::Circuit;
+use shelfgrade::time::Span;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::{Rc, Weak};
+
+#[derive(Default)]
+pub struct Pulse {
+    latest: RefCell<VecDeque<(Span, Weak<Circuit>)>>,
+}
+
+impl Pulse {
+    /// A message of this circuit has come back.
+    pub fn came_back(&self, circuit: &Circuit, took: Span) {
+        // More than come back in a second, few enough to hold.
+        const SAMPLES: usize = 64;
+        let mut latest = self.latest.borrow_mut();
+        latest.push_back((took, circuit.me.clone()));
+        if latest.len() > SAMPLES {
+            latest.pop_front();
+        }
+    }
+
+    /// The middle one of what came back since this was last asked, with a circuit that still is.
+    pub fn take(&self) -> Option<(Span, Rc<Circuit>)> {
+        let latest = std::mem::take(&mut *self.latest.borrow_mut());
+        let mut standing: Vec<_> =
+            latest.into_iter().filter_map(|(took, circuit)| Some((took, circuit.upgrade()?))).collect();
+        standing.sort_by_key(|s| s.0);
+        let middle = standing.len() / 2;
+        (middle < standing.len()).then(|| standing.swap_remove(middle))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/ring.rs
@@ -0,0 +1,109 @@
+//! The bounded buffer of one direction of a circuit.
+
+use std::io::{self, Read, Write};
+
+pub struct Ring {
+    bytes: Box<[u8]>,
+    start: usize,
+    len: usize,
+}
+
+impl Ring {
+    pub fn new(size: usize) -> Self {
+        Ring { bytes: vec![0; size].into_boxed_slice(), start: 0, len: 0 }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.len == self.bytes.len()
+    }
+
+    pub fn clear(&mut self) {
+        (self.start, self.len) = (0, 0);
+    }
+
+    /// One read into what is free, up to the buffer's end; nothing read where the peer has ended.
+    pub fn fill_from(&mut self, mut source: impl Read) -> io::Result<usize> {
+        let size = self.bytes.len();
+        let from = (self.start + self.len) % size;
+        let to = if from < self.start { self.start } else { size };
+        let read = source.read(&mut self.bytes[from..to])?;
+        self.len += read;
+        Ok(read)
+    }
+
+    /// One write of what is held, up to the buffer's end.
+    pub fn drain_to(&mut self, mut sink: impl Write) -> io::Result<usize> {
+        let to = (self.start + self.len).min(self.bytes.len());
+        let written = sink.write(&self.bytes[self.start..to])?;
+        self.start = (self.start + written) % self.bytes.len();
+        self.len -= written;
+        if self.len == 0 {
+            self.start = 0;
+        }
+        Ok(written)
+    }
+
+    /// The last `count` bytes taken in, which one call of `fill_from` left side by side.
+    pub fn latest(&self, count: usize) -> &[u8] {
+        let end = (self.start + self.len - 1) % self.bytes.len() + 1;
+        &self.bytes[end - count..end]
+    }
+
+    /// Drops the first `count` bytes.
+    pub fn skip(&mut self, count: usize) {
+        self.start = (self.start + count) % self.bytes.len();
+        self.len -= count;
+    }
+
+    /// Takes back the last `count` bytes.
+    pub fn cut(&mut self, count: usize) {
+        self.len -= count;
+    }
+
+    /// Adds all of `text`, or nothing where it does not fit.
+    pub fn push(&mut self, text: &[u8]) -> bool {
+        let fits = text.len() <= self.bytes.len() - self.len;
+        if fits {
+            for byte in text {
+                let at = (self.start + self.len) % self.bytes.len();
+                self.bytes[at] = *byte;
+                self.len += 1;
+            }
+        }
+        fits
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Ring;
+
+    #[test]
+    fn bytes_come_out_as_they_went_in_round_the_end_of_the_buffer() {
+        let mut ring = Ring::new(7);
+        let (mut source, mut out) = (&b"the quick brown fox jumps over the lazy dog"[..], Vec::new());
+        while !source.is_empty() || !ring.is_empty() {
+            if !ring.is_full() {
+                let before = source;
+                let read = ring.fill_from(&mut source).unwrap();
+                assert_eq!(ring.latest(read), &before[..read]);
+            }
+            let mut few = [0; 3];
+            let written = ring.drain_to(&mut few[..]).unwrap();
+            out.extend_from_slice(&few[..written]);
+        }
+        assert_eq!(out, b"the quick brown fox jumps over the lazy dog");
+    }
+
+    #[test]
+    fn a_text_that_does_not_fit_is_refused_whole() {
+        let mut ring = Ring::new(7);
+        assert!(ring.push(b"MOVE"));
+        assert!(!ring.push(b"MOVE") && ring.latest(4) == b"MOVE");
+        assert!(ring.push(b"...") && ring.is_full());
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/server.rs
@@ -0,0 +1,259 @@
+//! The server's side of a circuit: one connect, from the dial to the end of the connection.
+
+use crate::circuit::{Circuit, Stage};
+use crate::clock::duration;
+use crate::line::{text, with_wait, Cutter};
+use crate::proxy::{Hands, Proxy};
+use crate::pulse::Pulse;
+use crate::ring::Ring;
+use crate::socket::{End, Socket};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{LoopHandle, RegistrationToken};
+use shelfgrade::host::{Ending, ServerId};
+use shelfgrade::time::{Point, Span};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A server of the list, as far as carrying out needs it.
+pub struct Server {
+    pub id: ServerId,
+    pub dial: Cell<SocketAddr>,
+    pub pulse: Pulse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+enum Phase {
+    Dialling,
+    Writing,
+    Waiting,
+    Up,
+}
+
+pub struct Connect {
+    pub server: Rc<Server>,
+    pub socket: Socket,
+    phase: Cell<Phase>,
+    /// What is left to write of the first line.
+    first: RefCell<Ring>,
+    lines: RefCell<Cutter>,
+    gives_up: Point,
+    timer: Cell<Option<(LoopHandle<'static, Proxy>, RegistrationToken)>>,
+    /// What the server's last line says of an end that follows it.
+    farewell: Cell<Ending>,
+}
+
+impl Connect {
+    /// Dials; the time-out covers the connect and the wait for the first answer.
+    pub fn begin(
+        circuit: &Rc<Circuit>,
+        server: Rc<Server>,
+        time_out: Span,
+        now: Point,
+        hands: &Hands,
+    ) -> io::Result<Rc<Self>> {
+        let socket = Socket::dial(server.dial.get())?;
+        let weak = circuit.me.clone();
+        socket.watch(&hands.handle, move |proxy| {
+            weak.upgrade().inspect(|circuit| circuit.ready(proxy));
+        })?;
+        let connect = Rc::new(Connect {
+            server,
+            socket,
+            phase: Cell::new(Phase::Dialling),
+            first: RefCell::new(Ring::new(1)),
+            lines: RefCell::default(),
+            gives_up: now + time_out,
+            timer: Cell::default(),
+            farewell: Cell::new(Ending::Broken),
+        });
+        let dial = hands.dial_time_out.map_or(time_out, |d| d.min(time_out));
+        connect.give_up_in(dial, circuit, &hands.handle);
+        Ok(connect)
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.phase.get() == Phase::Up
+    }
+
+    pub fn between_lines(&self) -> bool {
+        self.lines.borrow().between_lines()
+    }
+
+    /// Guards against a stale alarm too: the new one takes the old one's place, and goes with the connect.
+    fn give_up_in(self: &Rc<Self>, wait: Span, circuit: &Circuit, handle: &LoopHandle<'static, Proxy>) {
+        self.stop_timer();
+        let (circuit, connect) = (circuit.me.clone(), Rc::downgrade(self));
+        let timer = Timer::from_duration(duration(wait));
+        let token = handle.insert_source(timer, move |_, _, proxy| {
+            if let (Some(circuit), Some(connect)) = (circuit.upgrade(), connect.upgrade()) {
+                connect.timer.take();
+                connect.timed_out(&circuit, proxy);
+            }
+            TimeoutAction::Drop
+        });
+        self.timer.set(token.ok().map(|token| (handle.clone(), token)));
+    }
+
+    fn stop_timer(&self) {
+        if let Some((handle, token)) = self.timer.take() {
+            handle.remove(token);
+        }
+    }
+
+    fn timed_out(&self, circuit: &Circuit, proxy: &mut Proxy) {
+        // Guards against time running out just as the answer comes in.
+        circuit.ready(proxy);
+        if self.phase.get() != Phase::Up {
+            circuit.connect_ended(self, self.unrun_or(Ending::TimedOut), proxy);
+        }
+    }
+
+    /// Before the first line's last byte is written nothing can have run.
+    fn unrun_or(&self, ending: Ending) -> Ending {
+        if self.phase.get() < Phase::Waiting {
+            Ending::Unreachable
+        } else {
+            ending
+        }
+    }
+}
+
+impl Drop for Connect {
+    fn drop(&mut self) {
+        self.stop_timer();
+    }
+}
+
+impl Circuit {
+    /// Goes on with the connect, or reads once from the server; true if anything came.
+    pub fn hear_server(&self, proxy: &mut Proxy) -> bool {
+        let Some(connect) = self.connect.borrow().clone() else { return false };
+        if connect.phase.get() == Phase::Dialling {
+            match connect.socket.is_up() {
+                Ok(false) => return false,
+                Ok(true) if proxy.may_begin(self) => {
+                    let line = with_wait(&self.opening.borrow(), connect.gives_up.since(proxy.now()));
+                    let mut first = Ring::new(line.len());
+                    first.push(line.as_bytes());
+                    *connect.first.borrow_mut() = first;
+                    connect.phase.set(Phase::Writing);
+                    let wait = connect.gives_up.since(proxy.now());
+                    connect.give_up_in(wait, self, &proxy.hands.handle);
+                }
+                Ok(true) | Err(_) => {
+                    self.connect_ended(&connect, Ending::Unreachable, proxy);
+                    return true;
+                }
+            }
+        }
+        if connect.phase.get() == Phase::Writing {
+            while connect.socket.write(&mut connect.first.borrow_mut()) > 0 {}
+            if connect.first.borrow().is_empty() && connect.socket.ended.get().is_none() {
+                connect.phase.set(Phase::Waiting);
+            }
+        }
+        let before = connect.socket.ended.get();
+        let read = connect.socket.read(&mut self.down.borrow_mut());
+        if read > 0 {
+            self.take_in(&connect, read, proxy);
+        }
+        match connect.socket.ended.get() {
+            Some(how) if self.current(&connect) && (before.is_none() || how == End::Reset) => {
+                match self.stage.get() {
+                    Stage::Asking => {
+                        self.connect_ended(&connect, connect.unrun_or(Ending::Broken), proxy);
+                        return true;
+                    }
+                    Stage::Standing => self.server_ended(how, connect.farewell.get(), proxy),
+                    // After the client's end the server's follows.
+                    _ => self.down_end.set(self.down_end.get().or(Some(how))),
+                }
+            }
+            _ => {}
+        }
+        read > 0
+    }
+
+    fn current(&self, connect: &Rc<Connect>) -> bool {
+        self.connect.borrow().as_ref().is_some_and(|c| Rc::ptr_eq(c, connect))
+    }
+
+    /// Reads along in what has come into the ring.
+    fn take_in(&self, connect: &Rc<Connect>, read: usize, proxy: &mut Proxy) {
+        if self.down_end.get().is_some() {
+            // Its client is being sent away or has had its answer.
+            self.down.borrow_mut().cut(read);
+            return;
+        }
+        if self.leaving_line.get().is_some() {
+            // Guards against a move between the pieces of a line: what follows the last whole one stays out.
+            let mut down = self.down.borrow_mut();
+            let after = down.latest(read).iter().rev().take_while(|b| **b != b'\n').count();
+            if after < read {
+                down.cut(after);
+                *connect.lines.borrow_mut() = Cutter::default();
+                drop(down);
+                return proxy.move_now(self);
+            }
+        }
+        let lines = connect.lines.borrow_mut().feed(self.down.borrow().latest(read));
+        match lines {
+            Ok(lines) => lines.iter().for_each(|line| self.server_says(connect, text(line), proxy)),
+            Err(fault) => self.foul(fault, proxy),
+        }
+    }
+
+    fn server_says(&self, connect: &Rc<Connect>, line: &str, proxy: &mut Proxy) {
+        log::trace!("circuit {} at {}: {line}", self.id.0, connect.server.id);
+        if !self.current(connect) {
+            return;
+        }
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        if connect.phase.get() != Phase::Up {
+            match word {
+                "UP" => {
+                    connect.phase.set(Phase::Up);
+                    connect.stop_timer();
+                    self.enter(Stage::Standing, proxy.now());
+                    proxy.stands(self, &connect.server.id);
+                }
+                "BUSY" => self.connect_ended(connect, Ending::TurnedAway, proxy),
+                "MOVE" => self.connect_ended(connect, Ending::CalledOff, proxy),
+                _ => self.connect_ended(connect, Ending::Errored, proxy),
+            }
+            return;
+        }
+        connect.farewell.set(match word {
+            "BYE" => Ending::Finished,
+            "MOVE" => Ending::CalledOff,
+            _ => Ending::Broken,
+        });
+        match word {
+            "LOAD" => rest.parse().ok().into_iter().for_each(|load| proxy.chooser.load_is(self.id, load)),
+            "BYE" | "MOVE" => {}
+            _ => {
+                if let Some(asked) = self.asked.borrow_mut().pop_front() {
+                    connect.server.pulse.came_back(self, proxy.now().since(asked));
+                }
+            }
+        }
+    }
+
+    /// A connect has ended without a connection; the module says how it goes on.
+    pub fn connect_ended(&self, connect: &Connect, ending: Ending, proxy: &mut Proxy) {
+        log::debug!("circuit {} at {}: {ending:?}", self.id.0, connect.server.id);
+        self.connect.borrow_mut().take();
+        self.down.borrow_mut().clear();
+        if self.is_taken_over() {
+            return self.answer("ERR", proxy.now());
+        }
+        proxy.ended(self.id, ending, false);
+    }
+
+    /// A connection that was open before this proxy started.
+    pub fn is_taken_over(&self) -> bool {
+        crate::line::Open::parse(&self.opening.borrow()).is_some_and(|open| open.field("at").is_some())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/socket.rs
@@ -0,0 +1,149 @@
+//! A non-blocking TCP connection that the loop watches until it is dropped.
+
+use crate::proxy::Proxy;
+use crate::ring::Ring;
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use std::cell::Cell;
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How a peer ended what it sends, or how we end what we send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Fin,
+    Reset,
+}
+
+pub struct Socket {
+    stream: Rc<TcpStream>,
+    watch: Cell<Option<(LoopHandle<'static, Proxy>, RegistrationToken)>>,
+    /// Set once the peer has ended, however that was noticed.
+    pub ended: Cell<Option<End>>,
+    /// Set once our side has ended.
+    pub closed: Cell<Option<End>>,
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Ok(Socket {
+            stream: Rc::new(stream),
+            watch: Cell::default(),
+            ended: Cell::default(),
+            closed: Cell::default(),
+        })
+    }
+
+    /// Starts a connect, which a call of `ready` will bring news of.
+    pub fn dial(to: SocketAddr) -> io::Result<Self> {
+        let socket = socket2::Socket::new(
+            socket2::Domain::for_address(to),
+            socket2::Type::STREAM.nonblocking().cloexec(),
+            Some(socket2::Protocol::TCP),
+        )?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(fault) if fault.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
+            Err(fault) => return Err(fault),
+        }
+        Self::new(socket.into())
+    }
+
+    /// Calls `ready` whenever the socket may have become readable or writable: at each change, not as long as
+    /// it lasts, so whoever is called reads and writes until it would block.
+    pub fn watch(
+        &self,
+        handle: &LoopHandle<'static, Proxy>,
+        mut ready: impl FnMut(&mut Proxy) + 'static,
+    ) -> io::Result<()> {
+        let source = Generic::new(self.stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle.insert_source(source, move |_, _, proxy| {
+            ready(proxy);
+            Ok(PostAction::Continue)
+        });
+        self.watch.set(Some((handle.clone(), token.map_err(|fault| io::Error::other(fault.error))?)));
+        Ok(())
+    }
+
+    /// Whether a connect has come up; an error where it has failed.
+    pub fn is_up(&self) -> io::Result<bool> {
+        if let Some(fault) = self.stream.take_error()? {
+            return Err(fault);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(fault) if fault.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(fault) => Err(fault),
+        }
+    }
+
+    /// Reads once into the ring; nothing where there is nothing now, no room, or nothing any more.
+    pub fn read(&self, ring: &mut Ring) -> usize {
+        if self.ended.get().is_some() || ring.is_full() {
+            return 0;
+        }
+        let read = self.settle(|stream| ring.fill_from(stream));
+        if read == Some(0) {
+            self.ended.set(Some(End::Fin));
+        }
+        read.unwrap_or(0)
+    }
+
+    /// Writes once from the ring.
+    pub fn write(&self, ring: &mut Ring) -> usize {
+        if ring.is_empty() {
+            return 0;
+        }
+        if self.closed.get().is_some() || self.ended.get() == Some(End::Reset) {
+            // Nobody is left to read it.
+            ring.clear();
+            return 0;
+        }
+        self.settle(|stream| ring.drain_to(stream)).unwrap_or(0)
+    }
+
+    /// None where nothing was done now, or the connection has broken.
+    fn settle(&self, mut act: impl FnMut(&TcpStream) -> io::Result<usize>) -> Option<usize> {
+        loop {
+            match act(&self.stream) {
+                Ok(count) => return Some(count),
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return None,
+                Err(_) => {
+                    self.ended.set(Some(End::Reset));
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Ends our side: politely, after what is written, or with a reset once the socket is dropped.
+    pub fn end(&self, how: End) {
+        if self.closed.replace(Some(how)).is_none() {
+            let _ = match how {
+                End::Fin => self.stream.shutdown(Shutdown::Write),
+                End::Reset => socket2::SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)),
+            };
+        }
+    }
+
+    /// Whether nothing more can come or go.
+    pub fn is_over(&self) -> bool {
+        let reset = Some(End::Reset);
+        self.ended.get() == reset
+            || self.closed.get() == reset
+            || self.ended.get().is_some() && self.closed.get().is_some()
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if let Some((handle, token)) = self.watch.take() {
+            handle.remove(token);
+        }
+    }
+}
--- a/crates/adapter/src/birth.rs
+++ b/crates/terms/src/lib.rs
@@ -1,6 +1,7 @@
-//! An instance's first message: reads what the decisions need and builds them. Unknown keys are ignored.
+//! The settings that a proxy is given at its start, on any wire: reads what the decisions need and builds them.
+//! Unknown keys are ignored.
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use serde::Deserialize;
 use shelfgrade::choice::{Chooser, WarmUp};
 use shelfgrade::host::{Circle, Effect, Offering};
@@ -56,6 +57,8 @@
     most_connects: usize,
     #[serde(default)]
     max_retry_after_ms: f64,
+    #[serde(default)]
+    dial_timeout_ms: f64,
 }
 
 #[derive(Deserialize)]
@@ -73,11 +76,32 @@
 struct Extra {
     #[serde(default)]
     message_aim_ms: Vec<f64>,
+    #[serde(default)]
+    mode: Mode,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Mode {
+    #[default]
+    Proxy,
+    Pass,
+}
+
+/// A proxy's terms, read.
+pub struct Terms {
+    pub chooser: Chooser,
+    /// The offerings' names in their order.
+    pub offerings: Vec<String>,
+    /// A connection that is not established within this has failed; none where the terms leave it open.
+    pub dial_time_out: Option<Span>,
+    /// Packets pass through: what stands outlives the proxy.
+    pub passes_through: bool,
 }
 
-/// The decisions of a new instance, and its offerings' names in their order.
-pub fn parse(seed: u64, text: &str) -> Result<(Chooser, Vec<String>)> {
-    let env: Env = serde_json::from_str(text).context("env")?;
+/// Reads the terms from the text of their JSON object.
+pub fn parse(seed: u64, text: &str) -> Result<Terms> {
+    let env: Env = serde_json::from_str(text)?;
     let Env { offerings, invariants, bounds, extra, .. } = env;
     let warm_up = WarmUp {
         cold_from: invariants.cold_from,
@@ -111,5 +135,10 @@
         must_ask_in,
         warm_up,
     );
-    Ok((chooser, offerings.into_iter().map(|o| o.name).collect()))
+    Ok(Terms {
+        chooser,
+        offerings: offerings.into_iter().map(|o| o.name).collect(),
+        dial_time_out: Some(bounds.dial_timeout_ms).filter(|ms| *ms > 0.0).map(Span::from_ms),
+        passes_through: extra.mode == Mode::Pass,
+    })
 }
