--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -150,10 +150,14 @@
             "HANGUP" => chooser.left(line.circuit()?),
             "FIRED" => {
                 line.whole("label")?;
-                chooser.woke(host);
+                chooser.woke(now, host);
             }
             // Nothing is decided by these yet, but a malformed one is still a fault.
             "MESSAGE" => drop(line.whole("from")?),
+            // Only a probe that was served tells how long work takes.
+            "STATUS_BACK" if line.whole("result")? == 1 => {
+                chooser.probed(line.required("server")?, line.span("cost_time_ms")?, now, host);
+            }
             "STATUS_BACK" => drop(line.required("server")?),
             name => bail!("{name} is no message of this wire"),
         }
@@ -266,6 +270,10 @@
         self.say(format_args!("LISTEN want=1"));
     }
 
+    fn probe(&mut self, server: &ServerId) {
+        self.say(format_args!("ASK_LOAD server={server}"));
+    }
+
     fn wake(&mut self, at: Point) {
         self.say(format_args!("SET_TIMER instant_ms={} label=0", at.as_ms()));
     }
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -166,16 +166,10 @@
         match self.stage.get() {
             Stage::Greeting if past > FIRST_LINE_WITHIN => proxy.hands.forget(self.id),
             Stage::Leaving if past > LAST_BYTES_WITHIN => proxy.hands.forget(self.id),
-            Stage::Standing => {
-                if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) {
-                    proxy.hands.tally.count("moved inside a line");
-                    self.server_ended(End::Fin, Ending::CalledOff, proxy);
-                    self.flush();
-                }
-                let waits = self.asked.borrow().front().map(|asked| now.since(*asked));
-                if let Some(waits) = waits {
-                    proxy.silent(self.id, waits);
-                }
+            Stage::Standing if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) => {
+                proxy.hands.tally.count("moved inside a line");
+                self.server_ended(End::Fin, Ending::CalledOff, proxy);
+                self.flush();
             }
             _ => {}
         }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -47,7 +47,7 @@
         })
     }
 
-    /// Asks for what is newer than the list held, or for the whole of it; where a call is out, that one serves.
+    /// Asks for what is newer than the list held, or for all of it; where a call is out, that one serves.
     pub fn call(self: &Rc<Self>, proxy: &mut Proxy) {
         if self.calling.replace(true) {
             return;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,4 +1,4 @@
-//! A balancer for long-lived connections on real sockets, built round the decisions of the crate `shelfgrade`.
+//! A balancer for long-lived connections on real sockets, round the decisions of the crate `shelfgrade`.
 //!
 //! [`start::Start`] holds what a proxy is told at its start; [`proxy::serve`] runs it on one thread and one
 //! loop until it is told to end. The decisions are the module's; this crate carries them out.
@@ -11,6 +11,7 @@
 mod discovery;
 mod line;
 mod listing;
+mod probe;
 pub mod proxy;
 mod pulse;
 mod ring;
--- /dev/null
+++ b/crates/proxy/src/probe.rs
@@ -0,0 +1,98 @@
+//! Signs of life: a connection to a server on which one `PING` at a time goes out.
+
+use crate::line::{text, Cutter};
+use crate::proxy::Proxy;
+use crate::ring::Ring;
+use crate::server::Server;
+use crate::socket::Socket;
+use shelfgrade::time::Point;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+pub struct Probe {
+    socket: Socket,
+    out: RefCell<Ring>,
+    back: RefCell<Ring>,
+    lines: RefCell<Cutter>,
+    /// When the `PING` that is out was asked for.
+    asked: Cell<Option<Point>>,
+}
+
+impl Probe {
+    /// Asks for a sign of life over the connection that there is, or over a new one. One that is still out
+    /// has taken this long already, and is given up.
+    pub fn ask(server: &Rc<Server>, proxy: &mut Proxy) {
+        let now = proxy.now();
+        let standing = server.probe.borrow().clone();
+        let out_since = standing.as_ref().and_then(|probe| probe.asked.get());
+        if let Some(asked) = out_since {
+            server.probe.take();
+            proxy.probed(server, now.since(asked));
+        }
+        let usable = standing.filter(|p| out_since.is_none() && p.socket.ended.get().is_none());
+        let Some(probe) = usable.or_else(|| Self::open(server, proxy)) else { return };
+        probe.asked.set(Some(now));
+        probe.out.borrow_mut().push(b"PING\r\n");
+        *server.probe.borrow_mut() = Some(probe.clone());
+        probe.flush();
+    }
+
+    fn open(server: &Rc<Server>, proxy: &mut Proxy) -> Option<Rc<Self>> {
+        // A short line each way.
+        const ROOM: usize = 256;
+        let socket = Socket::dial(server.dial.get()).ok()?;
+        let probe = Rc::new(Probe {
+            socket,
+            out: RefCell::new(Ring::new(ROOM)),
+            back: RefCell::new(Ring::new(ROOM)),
+            lines: RefCell::default(),
+            asked: Cell::default(),
+        });
+        let (weak, server) = (Rc::downgrade(&probe), Rc::downgrade(server));
+        let watched = probe.socket.watch(&proxy.hands.handle, move |proxy| {
+            if let (Some(probe), Some(server)) = (weak.upgrade(), server.upgrade()) {
+                probe.ready(&server, proxy);
+            }
+        });
+        watched.ok().map(|()| probe)
+    }
+
+    fn flush(&self) {
+        if self.socket.is_up().is_ok_and(|up| up) {
+            self.socket.write(&mut self.out.borrow_mut());
+        }
+    }
+
+    fn ready(&self, server: &Server, proxy: &mut Proxy) {
+        if self.socket.is_up().is_err() {
+            self.close(server);
+            return;
+        }
+        self.flush();
+        loop {
+            let read = self.socket.read(&mut self.back.borrow_mut());
+            if read == 0 {
+                break;
+            }
+            let lines = self.lines.borrow_mut().feed(self.back.borrow().latest(read));
+            self.back.borrow_mut().clear();
+            for line in lines.unwrap_or_default() {
+                let asked = self.asked.take();
+                // Anything else tells nothing of how long work takes.
+                if let (Some(asked), "PONG") = (asked, text(&line)) {
+                    proxy.probed(server, proxy.now().since(asked));
+                }
+            }
+        }
+        if self.socket.ended.get().is_some() {
+            self.close(server);
+        }
+    }
+
+    fn close(&self, server: &Server) {
+        let mine = server.probe.borrow().as_ref().is_some_and(|p| std::ptr::eq(&**p, self));
+        if mine {
+            server.probe.take();
+        }
+    }
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -6,6 +6,7 @@
 use crate::discovery::Discovery;
 use crate::line::Open;
 use crate::listing::Listing;
+use crate::probe::Probe;
 use crate::server::{Connect, Server};
 use crate::socket::Socket;
 use crate::start::{Limits, Start};
@@ -60,6 +61,7 @@
     /// What came of a call while the module was speaking, to be told when it has finished.
     untold: VecDeque<(CircuitId, Ending, bool)>,
     wants_list: Cell<bool>,
+    to_probe: VecDeque<Rc<Server>>,
 }
 
 /// Serves until told to end.
@@ -102,6 +104,7 @@
             ring,
             untold: VecDeque::new(),
             wants_list: Cell::new(false),
+            to_probe: VecDeque::new(),
         },
         offerings: start.terms.offerings,
         discovery: Discovery::new(start.discovery, seq),
@@ -115,6 +118,10 @@
     };
     proxy.hands.follow(&start.known);
     proxy.chooser.start(&start.known.lines(), clock.now(), &mut proxy.hands);
+    // Lines come back at once here however strained a server is.
+    if start.terms.may_probe {
+        proxy.chooser.look_round(clock.now(), &mut proxy.hands);
+    }
     proxy.settle();
     log::info!("{} listens on {}, {} servers known", start.name, start.listen, proxy.hands.servers.len());
     events.run(None, &mut proxy, |_| {}).context("event loop")?;
@@ -269,9 +276,13 @@
             || id.is_some_and(|id| self.hands.standings.get(&id) == Some(&Standing::Active))
     }
 
-    /// Nothing has come back for this long to a line of a standing connection.
-    pub fn silent(&mut self, circuit: CircuitId, waits: Span) {
-        let _ = (circuit, waits);
+    /// A probe has come back, or was given up, after this long.
+    pub fn probed(&mut self, server: &Server, took: Span) {
+        self.hands.tally.count("probes");
+        log::debug!("probe of {} took {} ms", server.id, took.as_ms());
+        let now = self.now();
+        self.chooser.probed(&server.id, took, now, &mut self.hands);
+        self.settle();
     }
 
     /// Carries out a move that waited for the end of a line.
@@ -307,6 +318,9 @@
         if self.hands.wants_list.take() {
             self.discovery.clone().call(self);
         }
+        while let Some(server) = self.hands.to_probe.pop_front() {
+            Probe::ask(&server, self);
+        }
     }
 
     fn beat(&mut self) {
@@ -325,6 +339,14 @@
         }
         self.pulses_taken = now;
         let servers: Vec<_> = self.hands.servers.values().cloned().collect();
+        let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
+        for circuit in circuits {
+            let asked = circuit.asked.borrow().front().copied();
+            if let Some(asked) = asked.filter(|_| circuit.stage.get() == Stage::Standing) {
+                self.chooser.messages_take(circuit.id, now.since(asked), now, &mut self.hands);
+                self.settle();
+            }
+        }
         for server in servers {
             if let Some((took, circuit)) = server.pulse.take() {
                 log::debug!("messages at {} take {} ms", server.id, took.as_ms());
@@ -394,7 +416,12 @@
             self.standings.insert(line.server.clone(), line.standing);
             let Some(dial) = entry.dial else { continue };
             let server = self.servers.entry(line.server.clone()).or_insert_with(|| {
-                Rc::new(Server { id: line.server.clone(), dial: Cell::new(dial), pulse: Default::default() })
+                Rc::new(Server {
+                    id: line.server.clone(),
+                    dial: Cell::new(dial),
+                    pulse: Default::default(),
+                    probe: Default::default(),
+                })
             });
             server.dial.set(dial);
         }
@@ -476,6 +503,10 @@
         }
     }
 
+    fn probe(&mut self, server: &ServerId) {
+        self.to_probe.extend(self.servers.get(server).cloned());
+    }
+
     fn subscribe(&mut self) {
         self.wants_list.set(true);
     }
@@ -483,7 +514,8 @@
     fn wake(&mut self, at: Point) {
         let timer = Timer::from_duration(duration(at.since(self.clock.now())));
         let set = self.handle.insert_source(timer, |_, _, proxy| {
-            proxy.chooser.woke(&mut proxy.hands);
+            let now = proxy.now();
+            proxy.chooser.woke(now, &mut proxy.hands);
             proxy.settle();
             TimeoutAction::Drop
         });
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -3,6 +3,7 @@
 use crate::circuit::{Circuit, Stage};
 use crate::clock::duration;
 use crate::line::{text, with_wait, Cutter};
+use crate::probe::Probe;
 use crate::proxy::{Hands, Proxy};
 use crate::pulse::Pulse;
 use crate::ring::Ring;
@@ -21,6 +22,7 @@
     pub id: ServerId,
     pub dial: Cell<SocketAddr>,
     pub pulse: Pulse,
+    pub probe: RefCell<Option<Rc<Probe>>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,5 +1,5 @@
-//! The settings that a proxy is given at its start, on any wire: reads what the decisions need and builds them.
-//! Unknown keys are ignored.
+//! The settings that a proxy is given at its start, on any wire: reads what the decisions need and builds
+//! them. Unknown keys are ignored.
 
 use anyhow::Result;
 use serde::Deserialize;
@@ -58,6 +58,8 @@
     #[serde(default)]
     max_retry_after_ms: f64,
     #[serde(default)]
+    probes: bool,
+    #[serde(default)]
     dial_timeout_ms: f64,
 }
 
@@ -95,6 +97,8 @@
     pub offerings: Vec<String>,
     /// A connection that is not established within this has failed; none where the terms leave it open.
     pub dial_time_out: Option<Span>,
+    /// Probes are allowed.
+    pub may_probe: bool,
     /// Packets pass through: what stands outlives the proxy.
     pub passes_through: bool,
 }
@@ -139,6 +143,7 @@
         chooser,
         offerings: offerings.into_iter().map(|o| o.name).collect(),
         dial_time_out: Some(bounds.dial_timeout_ms).filter(|ms| *ms > 0.0).map(Span::from_ms),
+        may_probe: bounds.probes,
         passes_through: extra.mode == Mode::Pass,
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,23 +2,23 @@
 //!
 //! How to call it: make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for
 //! each thing that happens. Methods take the present [`Point`], and the [`Host`] that at once carries out
-//! what is decided; that interface and the types shared with the caller are in `host.rs`.
+//! what is decided; that interface and the shared types are in `host.rs`, the records kept in `record.rs`.
 //!
 //! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
 //! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
 //!
 //! Mechanisms beside the design, six at most:
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
-//! 2. distrust: a fading score from failures and late messages, with the traffic following it;
+//! 2. distrust: a fading score from failures and late messages or probes, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
 //! 4. gathering: what comes back, or finds its pick or the fleet strained, goes to its group's servers;
-//! 5. relief: a server whose messages are late has connections sent away, first those not with their group;
+//! 5. relief: a server that is late so has connections sent away, first those that are not with their group;
 //! 6. pacing: failed connects narrow how many may be out at once.
 //!
-//! A circuit passes the stages `Reception`, `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its
-//! connects pass them in reverse.
+//! A circuit passes `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its connects comes in reverse.
 
-use crate::host::{Arrival, Circle, CircuitId, Effect, Ending, Host, Listed, Offering, ServerId, Standing};
+use crate::host::{Arrival, Circle, CircuitId, Effect, Ending, Host, Listed, Offering, Standing};
+use crate::record::{Circuit, Connect, Server};
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
@@ -26,50 +26,6 @@
 use std::rc::{Rc, Weak};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A server as this proxy knows it.
-#[derive(Default)]
-struct Server {
-    id: ServerId,
-    hash: u64,
-    zone: String,
-    cell: u64,
-    standing: Cell<Standing>,
-    started: Cell<Option<Point>>,
-    /// The connections that this proxy placed and that stand.
-    held: RefCell<BTreeMap<CircuitId, Weak<Circuit>>>,
-    /// Connects that wait for a word from the server, and since when it has sent none.
-    waiting: Cell<u32>,
-    silent_since: Cell<Option<Point>>,
-    /// The score of distrust as it was at a moment.
-    distrust: Cell<(f64, Point)>,
-    /// What is left of a cold server's budget, in connects, as it was at a moment.
-    budget: Cell<(f64, Point)>,
-}
-
-/// One connect of a circuit.
-struct Connect {
-    server: Rc<Server>,
-    sent: Point,
-    ending: Option<Ending>,
-}
-
-/// A circuit from its arrival to its final answer or, once it stands, to its end.
-struct Circuit {
-    id: CircuitId,
-    /// Hashes of the client key and of the group.
-    key: u64,
-    group: Option<u64>,
-    effect: Effect,
-    patience_ends: Point,
-    mid_flow: bool,
-    returned: bool,
-    stands: Cell<bool>,
-    answered: Cell<bool>,
-    /// Work a second that its connection asks for, once the server has told.
-    load: Cell<f64>,
-    connects: RefCell<Vec<Connect>>,
-}
-
 impl Circuit {
     /// The first connect that may have run, which binds all that follows.
     fn may_have_run(&self) -> Option<(Rc<Server>, Point)> {
@@ -97,10 +53,9 @@
 
     /// Whether a pushback's promise, that another try is harmless, would be true.
     fn may_push_back(&self) -> bool {
-        match self.effect {
-            Effect::Replayable | Effect::Referenced { among: Circle::All, .. } => true,
-            _ => self.may_have_run().is_none(),
-        }
+        let anywhere =
+            matches!(self.effect, Effect::Replayable | Effect::Referenced { among: Circle::All, .. });
+        anywhere || self.may_have_run().is_none()
     }
 }
 
@@ -175,12 +130,6 @@
         servers.retain(|s| s.standing.get() != Standing::Gone);
     }
 
-    fn saw_group(&self, group: u64) {
-        // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
-        const SAMPLES: usize = 128;
-        keep_last(SAMPLES, group, &mut self.groups.borrow_mut());
-    }
-
     /// How many of so many servers a group needs by its share of the traffic.
     fn width(&self, group: u64, servers: usize) -> usize {
         // Fewer samples than this say little about a share.
@@ -210,13 +159,10 @@
 }
 
 impl Server {
-    /// The server's place in the order of a group or key: the same at every proxy, and a list that changes
-    /// moves little of it.
+    /// The server's place in the order of a group or key: the same at every proxy, whatever else is listed.
     fn rank(&self, by: u64) -> u64 {
-        (self.hash ^ by)
-            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
-            .rotate_left(32)
-            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        let mix = |bits: u64| bits.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mix(mix(self.hash ^ by).rotate_left(32))
     }
 
     /// Connections that this proxy has here, standing or under way.
@@ -235,24 +181,10 @@
     }
 }
 
-/// First stage: whether the circuit may have a connect at all.
-struct Reception {
-    most_connects: usize,
-}
-
-impl Stage for Reception {
-    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
-        match circuit.connects.borrow().len() < self.most_connects && now < circuit.patience_ends {
-            true => Step::Pass,
-            false => Step::End,
-        }
-    }
-}
-
 /// How long the table knows a connection after its end: the design page's starting value.
 const TABLE_TIME_OUT: Span = Span::millis(30_000);
 
-/// Second stage: the bounded, aged table that answers mid-flow circuits.
+/// First stage: the bounded, aged table that answers mid-flow circuits.
 struct Recall {
     /// By client key: the server, and when the connection ended if it has.
     table: BTreeMap<u64, (Weak<Server>, Option<Point>)>,
@@ -287,22 +219,25 @@
     }
 }
 
-/// Third stage: keeps to as many connects at once as something that all servers share can bear.
+/// Second stage: keeps to as many connects at once as something that all servers share can bear.
 struct Pacing {
     shelf: Rc<Shelf>,
+    most_connects: usize,
 }
 
 impl Stage for Pacing {
-    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, _: Point, _: &mut dyn Host) -> Step {
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
+        let may_try = circuit.connects.borrow().len() < self.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
-        match circuit.mid_flow || self.shelf.has_turn() {
-            true => Step::Pass,
-            false => Step::End,
+        let passes = may_try && (circuit.mid_flow || self.shelf.has_turn());
+        if passes {
+            Step::Pass
+        } else {
+            Step::End
         }
     }
 
-    /// Halves the window with each connect that a jam may have failed, and widens it by one where a whole
-    /// window stood.
+    /// Halves the window where a jam may have failed a connect, and widens it by one where a whole one stood.
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
         let window = self.shelf.window.get();
         self.shelf.window.set(match connect.ending {
@@ -342,7 +277,7 @@
     }
 }
 
-/// Fourth stage: the design's choice of a server, with the load skip.
+/// Third stage: the design's choice of a server, with the load skip.
 struct Placement {
     shelf: Rc<Shelf>,
     warm_up: WarmUp,
@@ -373,8 +308,7 @@
         let silent = |s: &Server| s.silent_since.get().zip(unusual).is_some_and(|(at, u)| now.since(at) > u);
         let trusted = |s: &&Rc<Server>| draw >= s.distrust(now) && !silent(s);
 
-        // The ordinary path: the client key's hash, and the next in order past what drains, is gone or is
-        // overfull.
+        // The ordinary path: the key's hash, and the next in order past what drains, is gone or is overfull.
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
         if !circuit.returned || by_group.is_none() {
             let first = circuit.key as usize % servers.len().max(1);
@@ -430,8 +364,7 @@
         let Some(server) = pick.take() else { return Step::End };
         let left = circuit.patience_ends.since(now);
         let last = circuit.connects.borrow().len() + 1 >= self.most_connects;
-        // Guards against a patience spent on one silent server: half of what is left stays for another
-        // connect.
+        // Guards against a patience spent on one silent server: half of what is left stays for another.
         let half = left.times(0.5);
         let time_out = match self.shelf.unusual_after() {
             _ if last || circuit.effect == Effect::SingleUse => left,
@@ -487,9 +420,12 @@
     shelf: Rc<Shelf>,
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
+    asks_at: Option<Point>,
     list_failures: u32,
+    /// Where messages tell nothing of a server's strain: when to look round next.
+    looks_at: Option<Point>,
     chance: WyRand,
-    stages: [Box<dyn Stage>; 5],
+    stages: [Box<dyn Stage>; 4],
     /// The door: every circuit unanswered, standing or with a connect still out.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
 }
@@ -511,11 +447,12 @@
             offerings,
             most_pause,
             must_ask_in,
+            asks_at: None,
             list_failures: 0,
+            looks_at: None,
             stages: [
-                Box::new(Reception { most_connects }),
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
-                Box::new(Pacing { shelf: shelf.clone() }),
+                Box::new(Pacing { shelf: shelf.clone(), most_connects }),
                 Box::new(Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
             ],
@@ -543,8 +480,47 @@
     }
 
     /// The time has come that the host was asked to wake this proxy at.
-    pub fn woke(&mut self, host: &mut dyn Host) {
-        host.subscribe();
+    pub fn woke(&mut self, now: Point, host: &mut dyn Host) {
+        if self.asks_at.take_if(|at| *at <= now).is_some() {
+            host.subscribe();
+        }
+        if self.looks_at.take_if(|at| *at <= now).is_some() {
+            self.look_round(now, host);
+        }
+    }
+
+    /// For a host on which messages tell nothing of strain, called once; it comes round by itself. Probes the
+    /// servers that hold something of this proxy's, and has clients leave a draining one before it stops.
+    pub fn look_round(&mut self, now: Point, host: &mut dyn Host) {
+        // A draining server of twenty is empty in five seconds.
+        const ROUND: Span = Span::millis(250);
+        // A probe costs work, and strain lasts for seconds; under strain relief needs one a second.
+        const CALM: Span = Span::millis(3000);
+        const STRAINED: Span = Span::millis(1000);
+        // Twenty-five seconds after the worst.
+        const FADED: f64 = 0.05;
+        self.looks_at = Some(now + ROUND);
+        host.wake(now + ROUND);
+        for server in self.shelf.servers.borrow().iter() {
+            let every = if server.distrust(now) > FADED { STRAINED } else { CALM };
+            if server.standing.get() == Standing::Draining {
+                self.relieve(server, true, host);
+            } else if server.open() > 0.0 && now.since(server.probed.get()) >= every {
+                server.probed.set(now);
+                host.probe(&server.id);
+            }
+        }
+    }
+
+    /// A probe has been answered, or given up, after this long.
+    pub fn probed(&mut self, server: &str, took: Span, now: Point, host: &mut dyn Host) {
+        // Up to twice the quickest is chance and ordinary work; at six times the server is nearly full.
+        const FROM: f64 = 2.0;
+        const TO: f64 = 6.0;
+        let Some(server) = self.shelf.find(server) else { return };
+        let quickest = server.quickest.get().map_or(took, |quickest| quickest.min(took));
+        server.quickest.set(Some(quickest));
+        self.strained(&server, (took.over(quickest) - FROM) / (TO - FROM), now, host);
     }
 
     pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
@@ -585,17 +561,30 @@
 
     /// Messages of a standing connection take this long at its server.
     pub fn messages_take(&mut self, circuit: CircuitId, delay: Span, now: Point, host: &mut dyn Host) {
-        // Beyond three times the limit work has piled up: gathering alone no longer helps.
-        const PILED_UP: f64 = 3.0;
+        // More than any message takes at a server that still works.
+        const LOST: Span = Span::millis(3500);
         let Some(circuit) = self.circuits.get(&circuit) else { return };
+        // Guards against a client held by a server that has gone without a word.
+        if delay > LOST && circuit.stands.get() && !circuit.answered.replace(true) {
+            host.send_away(circuit.id);
+        }
         let connects = circuit.connects.borrow();
         let (Some(connect), Some(limit)) = (connects.last(), self.message_limit) else { return };
         // Up to a quarter of the limit is no cause for distrust; from the limit on nothing more should come.
-        let late = ((delay.over(limit) - 0.25) / 0.75).clamp(0.0, 1.0);
-        connect.server.distrust.set((late.max(connect.server.distrust(now)), now));
-        // What is sent away should find a turn when it is back.
-        if late > 0.0 && self.shelf.has_turn() {
-            self.relieve(&connect.server, delay.over(limit) > PILED_UP, host);
+        let late = (delay.over(limit) - 0.25) / 0.75;
+        self.strained(&connect.server, late, now, host);
+    }
+
+    /// Work at a server takes long: from 0, not yet late, to 1, as late as can be borne.
+    fn strained(&self, server: &Rc<Server>, late: f64, now: Point, host: &mut dyn Host) {
+        // A message takes three times its limit then: work has piled up, and gathering alone no longer helps.
+        const PILED_UP: f64 = (3.0 - 0.25) / 0.75;
+        if late > 0.0 {
+            server.distrust.set((late.min(1.0).max(server.distrust(now)), now));
+            // What is sent away should find a turn when it is back.
+            if self.shelf.has_turn() {
+                self.relieve(server, late > PILED_UP, host);
+            }
         }
     }
 
@@ -631,7 +620,9 @@
         const FIRST: Span = Span::millis(400);
         let Some(must_ask_in) = self.must_ask_in else { return };
         let pause = self.jittered(FIRST.times(f64::from(1u32 << self.list_failures.min(8))));
-        host.wake(now + pause.min(must_ask_in.times(0.4)));
+        let at = now + pause.min(must_ask_in.times(0.4));
+        self.asks_at = Some(at);
+        host.wake(at);
     }
 
     fn jittered(&mut self, most: Span) -> Span {
@@ -654,7 +645,11 @@
             load: Cell::new(0.0),
             connects: RefCell::default(),
         });
-        circuit.group.filter(|_| !circuit.returned).inspect(|g| self.shelf.saw_group(*g));
+        // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
+        const SAMPLES: usize = 128;
+        if let Some(group) = circuit.group.filter(|_| !circuit.returned) {
+            keep_last(SAMPLES, group, &mut self.shelf.groups.borrow_mut());
+        }
         self.circuits.insert(arrival.circuit, circuit.clone());
         circuit
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 //!     fn forfeit(&mut self, _: CircuitId) {}
 //!     fn send_away(&mut self, _: CircuitId) {}
 //!     fn subscribe(&mut self) {}
+//!     fn probe(&mut self, _: &ServerId) {}
 //!     fn wake(&mut self, _: Point) {}
 //! }
 //!
@@ -49,4 +50,5 @@
 
 pub mod choice;
 pub mod host;
+mod record;
 pub mod time;
--- /dev/null
+++ b/src/record.rs
@@ -0,0 +1,54 @@
+//! What a proxy keeps of servers and circuits: plain records, on which `choice.rs` decides.
+
+use crate::host::{CircuitId, Effect, Ending, ServerId, Standing};
+use crate::time::{Point, Span};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+
+/// A server as this proxy knows it.
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) id: ServerId,
+    pub(crate) hash: u64,
+    pub(crate) zone: String,
+    pub(crate) cell: u64,
+    pub(crate) standing: Cell<Standing>,
+    pub(crate) started: Cell<Option<Point>>,
+    /// The connections that this proxy placed and that stand.
+    pub(crate) held: RefCell<BTreeMap<CircuitId, Weak<Circuit>>>,
+    /// Connects that wait for a word from the server, and since when it has sent none.
+    pub(crate) waiting: Cell<u32>,
+    pub(crate) silent_since: Cell<Option<Point>>,
+    /// The score of distrust as it was at a moment.
+    pub(crate) distrust: Cell<(f64, Point)>,
+    /// What is left of a cold server's budget, in connects, as it was at a moment.
+    pub(crate) budget: Cell<(f64, Point)>,
+    /// When it was last probed, and the quickest that it answered.
+    pub(crate) probed: Cell<Point>,
+    pub(crate) quickest: Cell<Option<Span>>,
+}
+
+/// One connect of a circuit.
+pub(crate) struct Connect {
+    pub(crate) server: Rc<Server>,
+    pub(crate) sent: Point,
+    pub(crate) ending: Option<Ending>,
+}
+
+/// A circuit from its arrival to its final answer or, once it stands, to its end.
+pub(crate) struct Circuit {
+    pub(crate) id: CircuitId,
+    /// Hashes of the client key and of the group.
+    pub(crate) key: u64,
+    pub(crate) group: Option<u64>,
+    pub(crate) effect: Effect,
+    pub(crate) patience_ends: Point,
+    pub(crate) mid_flow: bool,
+    pub(crate) returned: bool,
+    pub(crate) stands: Cell<bool>,
+    pub(crate) answered: Cell<bool>,
+    /// Work a second that its connection asks for, once the server has told.
+    pub(crate) load: Cell<f64>,
+    pub(crate) connects: RefCell<Vec<Connect>>,
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -13,6 +13,7 @@
     pub forfeited: Vec<u64>,
     pub sent_away: Vec<u64>,
     pub subscribed: usize,
+    pub probed: Vec<String>,
     pub alarms: Vec<Point>,
 }
 
@@ -32,6 +33,9 @@
     fn subscribe(&mut self) {
         self.subscribed += 1;
     }
+    fn probe(&mut self, server: &ServerId) {
+        self.probed.push(server.to_string());
+    }
     fn wake(&mut self, at: Point) {
         self.alarms.push(at);
     }
@@ -147,7 +151,7 @@
         let end = self.now + Span::millis(ms);
         while let Some(i) = self.notes.alarms.iter().position(|at| *at <= end) {
             self.now = self.now.max(self.notes.alarms.remove(i));
-            self.chooser.woke(&mut self.notes);
+            self.chooser.woke(self.now, &mut self.notes);
         }
         self.now = end;
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -409,3 +409,60 @@
     proxy.chooser.open_already(&open, "b2", proxy.now);
     assert_eq!(proxy.settles(Arrival { mid_flow: true, ..plain(&key) }).as_deref(), Some("b2"));
 }
+
+#[test]
+fn where_messages_tell_nothing_a_slow_probe_starts_relief() {
+    let mut proxy = Proxy::of_four();
+    proxy.chooser.look_round(proxy.now, &mut proxy.notes);
+    assert!(proxy.notes.probed.is_empty(), "nothing is held anywhere");
+    let guests: Vec<u64> = (0..12)
+        .map(|i| {
+            let key = format!("lift-{i}");
+            proxy.settles(Arrival { group: Some(&key), ..plain(&key) }).expect("a server");
+            i + 1
+        })
+        .collect();
+    proxy.lives(300);
+    let place = proxy.sent_to(guests[0])[0].clone();
+    assert!(proxy.notes.probed.contains(&place));
+    for ms in [2, 3] {
+        proxy.chooser.probed(&place, Span::millis(ms), proxy.now, &mut proxy.notes);
+    }
+    assert!(proxy.notes.sent_away.is_empty(), "a probe half as slow again is chance");
+    for _ in 0..12 {
+        proxy.chooser.probed(&place, Span::millis(30), proxy.now, &mut proxy.notes);
+    }
+    assert!(!proxy.notes.sent_away.is_empty());
+    assert!(proxy.notes.sent_away.iter().all(|c| proxy.sent_to(*c) == [place.clone()]));
+    let before = proxy.notes.probed.iter().filter(|p| **p == place).count();
+    proxy.lives(2200);
+    let after = proxy.notes.probed.iter().filter(|p| **p == place).count();
+    assert!(after >= before + 2, "a strained server is looked at each second");
+}
+
+#[test]
+fn a_draining_server_is_emptied_before_it_stops() {
+    let mut proxy = Proxy::of_four();
+    for i in 0..8 {
+        proxy.settles(plain(&format!("lift-{i}")));
+    }
+    let place = proxy.sent_to(1)[0].clone();
+    let held: Vec<u64> = (1..=8).filter(|c| proxy.sent_to(*c) == [place.clone()]).collect();
+    let draining = Listed { standing: Standing::Draining, ..server(&place) };
+    proxy.chooser.listed(&[draining], false, proxy.now);
+    proxy.chooser.look_round(proxy.now, &mut proxy.notes);
+    assert_eq!(proxy.notes.sent_away.len(), 1, "one at a time");
+    proxy.lives(2500);
+    let mut sent_away = proxy.notes.sent_away.clone();
+    sent_away.sort_unstable();
+    assert_eq!(sent_away, held);
+}
+
+#[test]
+fn a_client_whose_server_has_gone_without_a_word_is_sent_away_once() {
+    let mut proxy = Proxy::of_four();
+    proxy.settles(plain("lift-1"));
+    proxy.messages_take(1, 4000);
+    proxy.messages_take(1, 5000);
+    assert_eq!(proxy.notes.sent_away, [1]);
+}
