--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -120,14 +120,15 @@
         }
     }
 
-    /// A peer has broken the protocol: its connection ends, and the circuit with it.
-    pub fn foul(&self, _: TooLong, proxy: &mut Proxy) {
+    /// A peer has broken the protocol: its connection ends, and the circuit with it, however the module is
+    /// told that it ended.
+    pub fn foul(&self, _: TooLong, ending: Ending, proxy: &mut Proxy) {
         log::warn!("circuit {}: a line over the longest", self.id.0);
         proxy.hands.tally.count("long lines");
         if self.stage.get() == Stage::Asking {
             return self.give_up(proxy);
         }
-        self.server_ended(End::Fin, Ending::Broken, proxy);
+        self.server_ended(End::Fin, ending, proxy);
         self.enter(Stage::Leaving, proxy.now());
     }
 
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -18,7 +18,7 @@
             let lines = self.from_client.borrow_mut().feed(self.up.borrow().latest(read));
             match lines {
                 Ok(lines) => lines.iter().for_each(|line| self.client_says(line, proxy)),
-                Err(fault) => self.foul(fault, proxy),
+                Err(fault) => self.foul(fault, Ending::CalledOff, proxy),
             }
         }
         match self.client.ended.get() {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -71,7 +71,9 @@
     // Two descriptors and two rings a circuit; rings may take half of the memory.
     let most_circuits = (start.limits.sockets.saturating_sub(SPARE) / 2).max(1);
     let ring = ring_size(start.limits, most_circuits);
-    let _ = raise_descriptors(start.limits.sockets);
+    if let Err(fault) = limit_descriptors(start.limits.sockets) {
+        log::warn!("the limit on descriptors stays as it is: {fault}");
+    }
 
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().context("event loop")?;
     let handle = events.handle();
@@ -123,7 +125,8 @@
         proxy.chooser.look_round(clock.now(), &mut proxy.hands);
     }
     proxy.settle();
-    log::info!("{} listens on {}, {} servers known", start.name, start.listen, proxy.hands.servers.len());
+    let address = proxy.listener.local_addr().context("listener")?;
+    log::info!("{} listens on {address}, {} servers known", start.name, proxy.hands.servers.len());
     events.run(None, &mut proxy, |_| {}).context("event loop")?;
     tally.log();
     Ok(())
@@ -136,16 +139,12 @@
     ((limits.memory_mb << 20) / 2 / (2 * most_circuits)).clamp(least, most) as usize
 }
 
-fn raise_descriptors(wanted: u64) -> rustix::io::Result<()> {
+/// Sets the system's limit to the one that was given, so that neither is met by surprise.
+fn limit_descriptors(wanted: u64) -> rustix::io::Result<()> {
     use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
-    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    let maximum = getrlimit(Resource::Nofile).maximum;
     let reachable = maximum.map_or(wanted, |m| m.min(wanted));
-    match current {
-        Some(current) if current < reachable => {
-            setrlimit(Resource::Nofile, Rlimit { current: Some(reachable), maximum })
-        }
-        _ => Ok(()),
-    }
+    setrlimit(Resource::Nofile, Rlimit { current: Some(reachable), maximum })
 }
 
 fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
@@ -366,18 +365,30 @@
     fn end_when_done(&mut self, circuits: &[Rc<Circuit>]) {
         // Clients go on coming for a little while after the signal.
         const QUIET_FOR: Span = Span::millis(500);
+        // The longest patience of a circuit is three seconds; killing comes 0.7 s after that.
+        const OPEN_FOR: Span = Span::millis(3200);
+        const GONE_WITHIN: Span = Span::millis(3600);
         let now = self.now();
-        let Some(told) = self.told_to_end else { return };
-        if now.since(told) < QUIET_FOR || now.since(self.last_arrival) < QUIET_FOR {
+        let Some(past) = self.told_to_end.map(|told| now.since(told)) else { return };
+        if past < QUIET_FOR || now.since(self.last_arrival) < QUIET_FOR && past < OPEN_FOR {
             return;
         }
-        let unanswered = circuits.iter().any(|c| match c.stage.get() {
-            Stage::Asking => true,
-            Stage::Leaving => !c.client.is_over(),
-            Stage::Standing => !self.passes_through,
-            Stage::Greeting => false,
-        });
-        if !unanswered {
+        let in_stage = |stage| circuits.iter().filter(move |c| c.stage.get() == stage);
+        if !self.passes_through {
+            for circuit in in_stage(Stage::Standing).filter(|c| c.leaving_line.get().is_none()) {
+                self.hands.send_away(circuit.id);
+            }
+            self.settle();
+        }
+        if past >= OPEN_FOR {
+            for circuit in in_stage(Stage::Asking) {
+                self.hands.tally.count("forfeited at the end");
+                circuit.answer("ERR", now);
+            }
+        }
+        let standing = !self.passes_through && in_stage(Stage::Standing).next().is_some();
+        let leaving = in_stage(Stage::Leaving).any(|c| !c.client.is_over());
+        if past >= GONE_WITHIN || !(standing || leaving || in_stage(Stage::Asking).next().is_some()) {
             self.stop.stop();
         }
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -203,7 +203,11 @@
         let lines = connect.lines.borrow_mut().feed(self.down.borrow().latest(read));
         match lines {
             Ok(lines) => lines.iter().for_each(|line| self.server_says(connect, text(line), proxy)),
-            Err(fault) => self.foul(fault, proxy),
+            Err(fault) if connect.is_up() => self.foul(fault, Ending::Broken, proxy),
+            Err(_) => {
+                proxy.hands.tally.count("long lines");
+                self.connect_ended(connect, Ending::Broken, proxy);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/proxy/tests/stand/mod.rs
@@ -0,0 +1,259 @@
+//! Stand-ins on loopback for clients, servers and discovery, and the program itself.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything here takes.
+pub const LONG: Duration = Duration::from_secs(8);
+
+/// One end of a connection that speaks lines.
+pub struct Wire {
+    pub stream: TcpStream,
+    held: Vec<u8>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nonblocking(false).unwrap();
+        Wire { stream, held: Vec::new() }
+    }
+
+    pub fn to(address: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(address).unwrap())
+    }
+
+    pub fn say(&mut self, text: &str) -> &mut Self {
+        self.stream.write_all(text.as_bytes()).unwrap();
+        self
+    }
+
+    /// The next line, without its end; "" where the peer has ended, "reset" where it has reset.
+    pub fn line(&mut self) -> String {
+        loop {
+            if let Some(end) = self.held.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.held.drain(..=end).collect();
+                return String::from_utf8(line).unwrap().trim_end_matches(['\r', '\n']).to_owned();
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return String::new(),
+                Ok(read) => self.held.extend_from_slice(&bytes[..read]),
+                Err(fault) if fault.kind() == ErrorKind::ConnectionReset => return "reset".to_owned(),
+                Err(fault) => panic!("no line in time: {fault}"),
+            }
+        }
+    }
+
+    /// Whether nothing comes for a moment.
+    pub fn is_quiet(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_millis(60))).unwrap();
+        let quiet = self.stream.peek(&mut [0]).is_err_and(|f| f.kind() == ErrorKind::WouldBlock);
+        self.stream.set_read_timeout(Some(LONG)).unwrap();
+        quiet
+    }
+
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    pub fn finish(&self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    }
+}
+
+/// A server, or discovery: takes connections when the story says so.
+pub struct Place {
+    pub name: String,
+    listener: Option<TcpListener>,
+    pub address: SocketAddr,
+}
+
+impl Place {
+    pub fn new(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Place { name: name.to_owned(), listener: Some(listener), address }
+    }
+
+    /// One whose address refuses connections.
+    pub fn closed(name: &str) -> Self {
+        let mut place = Self::new(name);
+        place.listener = None;
+        place
+    }
+
+    /// One whose queue is full, so that a connect does not come up until something is accepted.
+    pub fn clogged(name: &str) -> (Self, TcpStream) {
+        let place = Self::new(name);
+        socket2::SockRef::from(place.listener.as_ref().unwrap()).listen(0).unwrap();
+        let first = TcpStream::connect(place.address).unwrap();
+        (place, first)
+    }
+
+    pub fn try_accept(&self) -> Option<Wire> {
+        self.listener.as_ref().unwrap().accept().ok().map(|(stream, _)| Wire::new(stream))
+    }
+
+    pub fn accept(&self) -> Wire {
+        within(LONG, || self.try_accept())
+    }
+
+    /// Takes a connection and its first line, and answers that it is up.
+    pub fn serve(&self) -> (Wire, String) {
+        let mut wire = self.accept();
+        let line = wire.line();
+        wire.say("UP 0123\r\n");
+        (wire, line)
+    }
+
+    /// As discovery: the path of the next call, with its connection.
+    pub fn called(&self) -> (Wire, String) {
+        let mut wire = self.accept();
+        let path = next_call(&mut wire);
+        (wire, path)
+    }
+
+    pub fn entry(&self, health: &str) -> String {
+        let (name, dial) = (&self.name, self.address);
+        format!(r#"{{"host":"{name}","dial":"{dial}","site":"a","block":0,"health":"{health}","born_ms":0}}"#)
+    }
+}
+
+pub fn next_call(wire: &mut Wire) -> String {
+    let path = wire.line().split(' ').nth(1).unwrap_or_default().to_owned();
+    while !wire.line().is_empty() {}
+    path
+}
+
+pub fn list(seq: u64, whole: bool, entries: &[String]) -> String {
+    let body = format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","));
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Waits for a condition.
+pub fn within<T>(limit: Duration, mut condition: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(met) = condition() {
+            return met;
+        }
+        assert!(began.elapsed() < limit, "not in time");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// What the program is started with.
+pub struct Terms {
+    pub effect: &'static str,
+    pub mode: &'static str,
+    pub probes: bool,
+    pub sockets: u64,
+    pub dial_ms: u64,
+}
+
+pub const USUAL: Terms =
+    Terms { effect: "repeatable", mode: "pass", probes: false, sockets: 256, dial_ms: 0 };
+
+pub struct Program {
+    pub child: Child,
+    log: BufReader<ChildStderr>,
+    pub address: SocketAddr,
+    pub discovery: Place,
+    config: std::path::PathBuf,
+}
+
+impl Program {
+    /// Starts it with these servers known.
+    pub fn start(terms: Terms, known: &[&Place]) -> Self {
+        let discovery = Place::new("discovery");
+        let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
+        let Terms { effect, mode, probes, sockets, dial_ms } = terms;
+        let settings = format!(
+            r#"{{"discovery":"subscribe","offerings":[{{"name":"alarm","idempotency":"{effect}"}}],
+            "bounds":{{"most_connects":3,"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
+            "invariants":{{"overload_factor":4,"must_ask_in_ms":1500}},
+            "extra":{{"mode":"{mode}","message_aim_ms":[50]}}}}"#
+        );
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
+            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
+            discovery.address,
+            entries.join(",")
+        );
+        let (mut child, config) = Self::launch(&text);
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
+        let address = address.unwrap_or_else(|| panic!("did not start: {line}")).parse().unwrap();
+        Program { child, log, address, discovery, config }
+    }
+
+    pub fn launch(config: &str) -> (Child, std::path::PathBuf) {
+        static STARTED: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("shelfgrade-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, config).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shelfgrade"));
+        command.env("RELAY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
+        (command.spawn().unwrap(), path)
+    }
+
+    pub fn client(&self) -> Wire {
+        Wire::to(self.address)
+    }
+
+    /// A client that has sent its first line.
+    pub fn opens(&self, key: &str, rest: &str) -> Wire {
+        let mut client = self.client();
+        client.say(&format!("OPEN 9b1f03aa5c7e2d41 {key} c=alarm{rest}\r\n"));
+        client
+    }
+
+    /// A client whose connection is up, with the server's end of it.
+    pub fn settles(&self, place: &Place) -> (Wire, Wire) {
+        let mut client = self.opens("lift-1", ",d=3000");
+        let (server, _) = place.serve();
+        assert_eq!(client.line(), "UP 0123");
+        (client, server)
+    }
+
+    /// Tells the program what the list holds now, and waits until it has heard.
+    pub fn hears(&self, entries: &[String]) -> Wire {
+        let (mut wire, path) = self.discovery.called();
+        assert!(path.contains("index=7"), "{path}");
+        wire.say(&list(8, false, entries));
+        assert!(next_call(&mut wire).contains("index=8"));
+        wire
+    }
+
+    pub fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    /// The exit code, and what was logged at the last.
+    pub fn exit(mut self) -> (Option<i32>, String) {
+        let status = within(LONG, || self.child.try_wait().unwrap());
+        let mut rest = String::new();
+        self.log.read_to_string(&mut rest).unwrap();
+        (status.code(), rest)
+    }
+
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
