A stale time-out no longer ends the next connect; silence is counted from the last thing heard

Reread: a connect's time-out first reads what has come; if that ended the connect and the module began another, the old time-out ended the new one (Connect::timed_out). Silence was counted from the oldest line unanswered, one answer a line: a server that answers two lines with one would have been taken for silent (Circuit::asked). Servers that are gone were kept for ever (Hands::follow). A dial to discovery, and a call for the whole list, waited as long as a watch. The reserve of descriptors did not count probes. A load that is no number was passed on.

--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -11,9 +11,11 @@
 use shelfgrade::host::{CircuitId, Ending};
 use shelfgrade::time::{Point, Span};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 
+/// How long the server of what was open before the start is tried and waited for: a run begins no later.
+pub const TAKE_OVER_WITHIN: Span = Span::millis(40_000);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// The client has yet to send its first line.
@@ -42,8 +44,8 @@
     pub down_end: Cell<Option<End>>,
     /// Since when it waits for the end of a line, to send its client away.
     pub leaving_line: Cell<Option<Point>>,
-    /// When the client's lines that nothing has come back for were read.
-    pub asked: RefCell<VecDeque<Point>>,
+    /// When the first line of the client's came that nothing has come back since.
+    pub asked: Cell<Option<Point>>,
     pub me: Weak<Circuit>,
 }
 
@@ -62,7 +64,7 @@
             up_end: Cell::default(),
             down_end: Cell::default(),
             leaving_line: Cell::default(),
-            asked: RefCell::default(),
+            asked: Cell::default(),
             me: me.clone(),
         })
     }
@@ -166,6 +168,7 @@
         let past = now.since(self.since.get());
         match self.stage.get() {
             Stage::Greeting if past > FIRST_LINE_WITHIN => proxy.hands.forget(self.id),
+            Stage::Asking if past > TAKE_OVER_WITHIN && self.is_taken_over() => self.answer("ERR", now),
             Stage::Leaving if past > LAST_BYTES_WITHIN => proxy.hands.forget(self.id),
             Stage::Standing if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) => {
                 proxy.hands.tally.count("moved inside a line");
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -4,8 +4,8 @@
 use crate::line::{text, Open};
 use crate::proxy::Proxy;
 use crate::socket::End;
-use shelfgrade::host::{Arrival, Ending};
-use shelfgrade::time::Span;
+use shelfgrade::host::Ending;
+use shelfgrade::time::{Point, Span};
 
 impl Circuit {
     /// Reads once from the client; true if anything came.
@@ -36,6 +36,7 @@
                 self.up.borrow_mut().skip(line.len());
                 match text(line) {
                     "PING" => {
+                        self.since.set(proxy.now());
                         let answer: &[u8] = if proxy.is_ready() { b"PONG\r\n" } else { b"ERR\r\n" };
                         self.down.borrow_mut().push(answer);
                         self.client.write(&mut self.down.borrow_mut());
@@ -43,10 +44,7 @@
                     line => self.open(line, proxy),
                 }
             }
-            // Lines that nothing comes back for need not all be remembered.
-            Stage::Standing if self.asked.borrow().len() < 16 => {
-                self.asked.borrow_mut().push_back(proxy.now())
-            }
+            Stage::Standing => self.asked.set(self.asked.get().or(Some(proxy.now()))),
             _ => {}
         }
     }
@@ -71,16 +69,7 @@
             proxy.hands.tally.count("bad first lines");
             return self.answer("ERR", now);
         };
-        let arrival = Arrival {
-            circuit: self.id,
-            offering: open.field("c").and_then(|c| proxy.offerings.iter().position(|o| o == c)),
-            key: Some(open.key),
-            group: open.field("g"),
-            patience_ends: now + patience,
-            mid_flow: open.is_marked("mid"),
-            returned: open.is_marked("again"),
-        };
-        proxy.arrived(&arrival);
+        proxy.arrived(&open, self.id, now + patience);
     }
 
     fn client_ended(&self, how: End, proxy: &mut Proxy) {
@@ -114,7 +103,7 @@
     }
 
     /// The final answer, when the client gets no server.
-    pub fn answer(&self, line: &str, now: shelfgrade::time::Point) {
+    pub fn answer(&self, line: &str, now: Point) {
         self.connect.borrow_mut().take();
         self.up.borrow_mut().clear();
         self.down.borrow_mut().clear();
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -18,6 +18,9 @@
 // A call that has had no answer for this long after its wait is lost: less than the two seconds after which
 // its news would count as told.
 const SLACK: Span = Span::millis(1500);
+// A call that does not wait is answered sooner, and a connection comes up sooner still.
+const AT_ONCE: Span = Span::millis(5000);
+const DIAL: Span = Span::millis(2000);
 // Far more than any list.
 const LONGEST_ANSWER: usize = 4 << 20;
 
@@ -52,44 +55,35 @@
         if self.calling.replace(true) {
             return;
         }
-        let path = match self.seq.get() {
-            Some(seq) => format!("/catalog/members?index={seq}&wait={}", WAIT.as_ms()),
-            None => "/catalog/members".to_owned(),
+        let (path, within) = match self.seq.get() {
+            Some(seq) => (format!("/catalog/members?index={seq}&wait={}", WAIT.as_ms()), WAIT + SLACK),
+            None => ("/catalog/members".to_owned(), AT_ONCE),
         };
         let mut request = self.request.borrow_mut();
         request.clear();
         request.push(format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.at).as_bytes());
         drop(request);
         self.answer.borrow_mut().clear();
-        let wait = Span::millis((WAIT.as_ms() + SLACK.as_ms()) as u64);
-        let me = self.clone();
-        let timer = Timer::from_duration(duration(wait));
+        let dialled = self.dial(proxy);
+        let _ = dialled.as_ref().inspect_err(|fault| log::warn!("discovery: {fault}"));
+        // A failure at once is told as one in time is: not from within this call.
+        let first = if dialled.is_ok() { DIAL } else { Span::default() };
+        let (me, ends) = (self.clone(), proxy.now() + within);
+        let timer = Timer::from_duration(duration(first));
         let token = proxy.hands.handle.insert_source(timer, move |_, _, proxy| {
+            let left = ends.since(proxy.now());
+            let up = me.socket.borrow().as_ref().is_some_and(|s| s.is_up().unwrap_or(false));
+            if up && left > Span::default() {
+                return TimeoutAction::ToDuration(duration(left));
+            }
             me.timer.take();
             me.failed("no answer in time", proxy);
             TimeoutAction::Drop
         });
         self.timer.set(token.ok());
-        if let Err(fault) = self.dial(proxy) {
-            // Not from within this call: whoever asked may be the one that hears of the failure.
-            log::warn!("discovery: {fault}");
-            self.arm_failure(proxy);
-            return;
-        }
         self.flush();
     }
 
-    fn arm_failure(self: &Rc<Self>, proxy: &mut Proxy) {
-        self.stop_timer(proxy);
-        let me = self.clone();
-        let token = proxy.hands.handle.insert_source(Timer::immediate(), move |_, _, proxy| {
-            me.timer.take();
-            me.failed("cannot connect", proxy);
-            TimeoutAction::Drop
-        });
-        self.timer.set(token.ok());
-    }
-
     fn dial(self: &Rc<Self>, proxy: &mut Proxy) -> std::io::Result<()> {
         if self.socket.borrow().is_none() {
             let socket = Rc::new(Socket::dial(self.at)?);
@@ -176,7 +170,8 @@
         found.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
     };
     let rest = &bytes[length..];
-    let mut keep = !header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+    let closes = header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+    let mut keep = head.version == Some(1) && !closes;
     let chunked = header("transfer-encoding").is_some_and(|t| t.eq_ignore_ascii_case("chunked"));
     let body = match header("content-length") {
         _ if chunked => unchunk(rest)?,
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info,calloop=error")).init();
     match shelfgrade_proxy::start::Start::from_environment().and_then(shelfgrade_proxy::proxy::serve) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,10 +1,10 @@
 //! The proxy: owns the decisions, hears from the sockets, and carries out what is decided.
 
-use crate::circuit::{Circuit, Stage};
+use crate::circuit::{Circuit, Stage, TAKE_OVER_WITHIN};
 use crate::client::busy;
 use crate::clock::{duration, Clock};
 use crate::discovery::Discovery;
-use crate::line::Open;
+use crate::line::{Open, LONGEST};
 use crate::listing::Listing;
 use crate::probe::Probe;
 use crate::server::{Connect, Server};
@@ -52,11 +52,10 @@
     pub dial_time_out: Option<Span>,
     clock: Clock,
     servers: BTreeMap<ServerId, Rc<Server>>,
-    standings: BTreeMap<ServerId, Standing>,
     /// The door: from the module's names to connections.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
     last_id: u64,
-    most_circuits: usize,
+    sockets: usize,
     ring: usize,
     /// What came of a call while the module was speaking, to be told when it has finished.
     untold: VecDeque<(CircuitId, Ending, bool)>,
@@ -66,11 +65,7 @@
 
 /// Serves until told to end.
 pub fn serve(start: Start) -> Result<()> {
-    // Few enough to leave the listener, discovery and the log their own.
-    const SPARE: u64 = 32;
-    // Two descriptors and two rings a circuit; rings may take half of the memory.
-    let most_circuits = (start.limits.sockets.saturating_sub(SPARE) / 2).max(1);
-    let ring = ring_size(start.limits, most_circuits);
+    let ring = ring_size(start.limits);
     if let Err(fault) = limit_descriptors(start.limits.sockets) {
         log::warn!("the limit on descriptors stays as it is: {fault}");
     }
@@ -99,10 +94,9 @@
             dial_time_out: start.terms.dial_time_out,
             clock,
             servers: BTreeMap::new(),
-            standings: BTreeMap::new(),
             circuits: BTreeMap::new(),
             last_id: 0,
-            most_circuits: most_circuits as usize,
+            sockets: start.limits.sockets as usize,
             ring,
             untold: VecDeque::new(),
             wants_list: Cell::new(false),
@@ -132,11 +126,11 @@
     Ok(())
 }
 
-/// The size of one ring: so that all of them take half of the memory at most.
-fn ring_size(limits: Limits, most_circuits: u64) -> usize {
-    // Room for two of the longest lines; more than four buys nothing for lines this short.
-    let (least, most) = (8 << 10, 16 << 10);
-    ((limits.memory_mb << 20) / 2 / (2 * most_circuits)).clamp(least, most) as usize
+/// The size of one ring: so that two for every descriptor take half of the memory at most.
+fn ring_size(limits: Limits) -> usize {
+    // Room for one of the longest lines and more; over four of them buys nothing for lines this short.
+    let (least, most) = (LONGEST + 512, 16 << 10);
+    ((limits.memory_mb << 20) as usize / 2 / (2 * limits.sockets.max(1) as usize)).clamp(least, most)
 }
 
 /// Sets the system's limit to the one that was given, so that neither is met by surprise.
@@ -222,29 +216,34 @@
         }
     }
 
-    pub fn arrived(&mut self, arrival: &Arrival) {
+    pub fn arrived(&mut self, open: &Open, circuit: CircuitId, patience_ends: Point) {
         self.hands.tally.count("circuits");
         let now = self.now();
         self.last_arrival = now;
-        self.chooser.arrived(arrival, now, &mut self.hands);
+        let arrival = self.arrival(open, circuit, patience_ends);
+        self.chooser.arrived(&arrival, now, &mut self.hands);
         self.settle();
     }
 
+    fn arrival<'a>(&self, open: &Open<'a>, circuit: CircuitId, patience_ends: Point) -> Arrival<'a> {
+        Arrival {
+            circuit,
+            offering: open.field("c").and_then(|c| self.offerings.iter().position(|o| o == c)),
+            key: Some(open.key),
+            group: open.field("g"),
+            patience_ends,
+            mid_flow: open.is_marked("mid"),
+            returned: open.is_marked("again"),
+        }
+    }
+
     /// The circuit's connection is up.
     pub fn stands(&mut self, circuit: &Circuit, server: &ServerId) {
         let now = self.now();
         let opening = circuit.opening.borrow();
-        match Open::parse(&opening).filter(|open| open.field("at").is_some()) {
+        match Open::parse(&opening).filter(|_| circuit.is_taken_over()) {
             Some(open) => {
-                let arrival = Arrival {
-                    circuit: circuit.id,
-                    offering: open.field("c").and_then(|c| self.offerings.iter().position(|o| o == c)),
-                    key: Some(open.key),
-                    group: open.field("g"),
-                    patience_ends: now,
-                    mid_flow: false,
-                    returned: false,
-                };
+                let arrival = self.arrival(&open, circuit.id, now);
                 self.chooser.open_already(&arrival, server, now);
             }
             None => {
@@ -267,14 +266,6 @@
         self.ended(circuit, Ending::CalledOff, true);
     }
 
-    /// Whether a connect that has come up may still send its first line.
-    pub fn may_begin(&self, circuit: &Circuit) -> bool {
-        let connect = circuit.connect.borrow();
-        let id = connect.as_ref().map(|c| c.server.id.clone());
-        circuit.is_taken_over()
-            || id.is_some_and(|id| self.hands.standings.get(&id) == Some(&Standing::Active))
-    }
-
     /// A probe has come back, or was given up, after this long.
     pub fn probed(&mut self, server: &Server, took: Span) {
         self.hands.tally.count("probes");
@@ -340,8 +331,7 @@
         let servers: Vec<_> = self.hands.servers.values().cloned().collect();
         let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
         for circuit in circuits {
-            let asked = circuit.asked.borrow().front().copied();
-            if let Some(asked) = asked.filter(|_| circuit.stage.get() == Stage::Standing) {
+            if let Some(asked) = circuit.asked.get().filter(|_| circuit.stage.get() == Stage::Standing) {
                 self.chooser.messages_take(circuit.id, now.since(asked), now, &mut self.hands);
                 self.settle();
             }
@@ -400,8 +390,11 @@
         CircuitId(self.last_id)
     }
 
+    /// Whether one more circuit might find no descriptor: each needs two, each server one for its probe.
     pub fn is_full(&self) -> bool {
-        self.circuits.len() > self.most_circuits
+        // For the listener, discovery, the loop and the log.
+        const SPARE: usize = 24;
+        2 * self.circuits.len() + self.servers.len() + SPARE > self.sockets
     }
 
     pub fn forget(&mut self, circuit: CircuitId) {
@@ -421,31 +414,37 @@
     fn follow(&mut self, listing: &Listing) {
         let lines = listing.lines();
         if listing.whole {
-            self.standings.retain(|id, _| lines.iter().any(|l| l.server == *id));
+            let absent = |id: &ServerId| !lines.iter().any(|l| l.server == *id);
+            self.servers
+                .iter()
+                .filter(|(id, _)| absent(id))
+                .for_each(|(_, s)| s.standing.set(Standing::Gone));
         }
         for (line, entry) in lines.iter().zip(&listing.entries) {
-            self.standings.insert(line.server.clone(), line.standing);
-            let Some(dial) = entry.dial else { continue };
-            let server = self.servers.entry(line.server.clone()).or_insert_with(|| {
-                Rc::new(Server {
+            let server = self.servers.get(&line.server).cloned().or_else(|| {
+                let server = Server {
                     id: line.server.clone(),
-                    dial: Cell::new(dial),
+                    standing: Cell::new(line.standing),
+                    dial: Cell::new(entry.dial?),
                     pulse: Default::default(),
                     probe: Default::default(),
-                })
+                };
+                Some(Rc::new(server))
             });
-            server.dial.set(dial);
+            let Some(server) = server else { continue };
+            server.standing.set(line.standing);
+            server.dial.set(entry.dial.unwrap_or(server.dial.get()));
+            self.servers.insert(line.server.clone(), server);
         }
+        self.servers.retain(|_, server| server.standing.get() != Standing::Gone);
     }
 
     /// Connects a circuit to the server that its line names, or leaves it for when the list names that one.
     pub fn take_over(&mut self, circuit: &Circuit) {
-        // The run begins when all such are up, and waits no longer than this.
-        const WITHIN: Span = Span::millis(40_000);
         let server = Open::parse(&circuit.opening.borrow())
             .and_then(|open| self.servers.get(open.field("at")?).cloned());
         let (Some(server), Some(circuit)) = (server, circuit.me.upgrade()) else { return };
-        match Connect::begin(&circuit, server, WITHIN, self.clock.now(), self) {
+        match Connect::begin(&circuit, server, TAKE_OVER_WITHIN, self.clock.now(), self) {
             Ok(connect) => drop(circuit.connect.replace(Some(connect))),
             Err(fault) => {
                 log::warn!("circuit {}: {fault}", circuit.id.0);
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -10,7 +10,7 @@
 use crate::socket::{End, Socket};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{LoopHandle, RegistrationToken};
-use shelfgrade::host::{Ending, ServerId};
+use shelfgrade::host::{Ending, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -20,6 +20,7 @@
 /// A server of the list, as far as carrying out needs it.
 pub struct Server {
     pub id: ServerId,
+    pub standing: Cell<Standing>,
     pub dial: Cell<SocketAddr>,
     pub pulse: Pulse,
     pub probe: RefCell<Option<Rc<Probe>>>,
@@ -104,10 +105,10 @@
         }
     }
 
-    fn timed_out(&self, circuit: &Circuit, proxy: &mut Proxy) {
-        // Guards against time running out just as the answer comes in.
+    fn timed_out(self: &Rc<Self>, circuit: &Circuit, proxy: &mut Proxy) {
+        // Guards against time running out just as the answer, or the client's end, comes in.
         circuit.ready(proxy);
-        if self.phase.get() != Phase::Up {
+        if circuit.current(self) && self.phase.get() != Phase::Up {
             circuit.connect_ended(self, self.unrun_or(Ending::TimedOut), proxy);
         }
     }
@@ -135,7 +136,7 @@
         if connect.phase.get() == Phase::Dialling {
             match connect.socket.is_up() {
                 Ok(false) => return false,
-                Ok(true) if proxy.may_begin(self) => {
+                Ok(true) if self.may_begin(&connect) => {
                     let line = with_wait(&self.opening.borrow(), connect.gives_up.since(proxy.now()));
                     let mut first = Ring::new(line.len());
                     first.push(line.as_bytes());
@@ -178,6 +179,12 @@
         read > 0
     }
 
+    /// Guards against something new at a server that was listed as draining, or went, while its connect came
+    /// up: nothing is sent then, which proves that nothing ran.
+    fn may_begin(&self, connect: &Connect) -> bool {
+        connect.server.standing.get() == Standing::Active || self.is_taken_over()
+    }
+
     fn current(&self, connect: &Rc<Connect>) -> bool {
         self.connect.borrow().as_ref().is_some_and(|c| Rc::ptr_eq(c, connect))
     }
@@ -236,14 +243,14 @@
             "MOVE" => Ending::CalledOff,
             _ => Ending::Broken,
         });
-        match word {
-            "LOAD" => rest.parse().ok().into_iter().for_each(|load| proxy.chooser.load_is(self.id, load)),
-            "BYE" | "MOVE" => {}
-            _ => {
-                if let Some(asked) = self.asked.borrow_mut().pop_front() {
-                    connect.server.pulse.came_back(self, proxy.now().since(asked));
-                }
+        let asked = self.asked.take();
+        match (word, asked) {
+            ("LOAD", _) => {
+                let load = rest.parse().ok().filter(|load: &f64| load.is_finite());
+                load.into_iter().for_each(|load| proxy.chooser.load_is(self.id, load));
             }
+            ("BYE" | "MOVE", _) | (_, None) => {}
+            (_, Some(asked)) => connect.server.pulse.came_back(self, proxy.now().since(asked)),
         }
     }
 
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -273,6 +273,16 @@
     let _call = program.hears(&[server.entry("in_service")]);
 }
 
+#[test]
+fn a_discovery_that_never_answers_is_asked_anew() {
+    let program = Program::start(USUAL, &[]);
+    let (mut silent, path) = program.discovery.called();
+    assert_eq!(path, "/catalog/members");
+    let (_call, path) = program.discovery.called();
+    assert_eq!(path, "/catalog/members");
+    assert_eq!(silent.line(), "", "given up by closing");
+}
+
 #[test]
 fn told_to_end_it_takes_who_still_comes_answers_and_leaves_the_rest_to_the_front() {
     let server = Place::new("s1");
@@ -335,7 +345,7 @@
     let server = Place::new("s1");
     let program = Program::start(Terms { sockets: 48, ..USUAL }, &[&server]);
     let before = program.descriptors();
-    let standing: Vec<_> = (0..8).map(|_| program.settles(&server)).collect();
+    let standing: Vec<_> = (0..11).map(|_| program.settles(&server)).collect();
     let mut one_more = program.opens("lift-9", ",d=3000");
     assert!(one_more.line().starts_with("BUSY"));
     // Clients that say nothing take every descriptor that is left; the rest wait in the queue.
@@ -347,7 +357,11 @@
     assert_eq!(last.line(), "PONG");
     drop((standing, one_more, last));
     within(LONG, || (program.descriptors() <= before + 1).then_some(()));
-    program.settles(&server);
+    let _sides = program.settles(&server);
+    program.terminate();
+    let (code, log) = program.exit();
+    assert_eq!(code, Some(0));
+    assert!(log.contains("accepting put off") && log.contains("broken assertions 0"), "{log}");
 }
 
 #[test]
--- a/src/time.rs
+++ b/src/time.rs
@@ -60,6 +60,13 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+    fn add(self, span: Span) -> Span {
+        Span(self.0.saturating_add(span.0))
+    }
+}
+
 impl Sub<Span> for Point {
     type Output = Point;
     fn sub(self, span: Span) -> Point {
