A server that resets a mid-flow connection it does not hold is not distrusted

Where packets pass through, a proxy that has just started places mid-flow connections by the hash; on sockets each wrong server resets what it does not hold, and each reset halved the trust in a sound server (Placement::back).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,6 @@
 //! How to call it: make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for
 //! each thing that happens. Methods take the present [`Point`], and the [`Host`] that at once carries out
 //! what is decided; that interface and the shared types are in `host.rs`, the records kept in `record.rs`.
-//!
 //! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
 //! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
 //!
@@ -342,9 +341,11 @@
         pick.as_ref().map_or(Step::End, |_| Step::Pass)
     }
 
-    fn back(&mut self, _: &Rc<Circuit>, connect: &Connect, now: Point) {
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
         // One bad ending takes half of the trust that is left, one that the server itself gave rather less.
         let keeps = match connect.ending {
+            // Guards against distrusting whoever rightly resets a mid-flow connection that another holds.
+            Some(Ending::Broken) if circuit.mid_flow && !circuit.stands.get() => return,
             Some(Ending::TimedOut | Ending::Unreachable | Ending::Broken) => 0.5,
             Some(Ending::Errored | Ending::TurnedAway) => 0.7,
             _ => return,
@@ -431,8 +432,7 @@
 }
 
 impl Chooser {
-    /// `most_pause` is the longest wait that a client keeps to when asked; `must_ask_in` is none where the
-    /// list comes unasked.
+    /// `most_pause`: the longest wait a client keeps to. `must_ask_in`: none where the list comes unasked.
     pub fn new(
         seed: u64,
         offerings: Vec<Offering>,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -466,3 +466,19 @@
     proxy.messages_take(1, 5000);
     assert_eq!(proxy.notes.sent_away, [1]);
 }
+
+#[test]
+fn a_server_that_resets_a_mid_flow_connection_it_does_not_hold_is_not_distrusted() {
+    let mut proxy = Proxy::of_four();
+    for i in 0..20 {
+        let circuit = proxy.arrives(Arrival { mid_flow: true, ..plain(&format!("stray-{i}")) });
+        proxy.ends(circuit, Ending::Broken);
+        assert_eq!(proxy.sent_to(circuit).len(), 2, "and the next may hold it");
+        proxy.chooser.stands(CircuitId(circuit), proxy.now);
+    }
+    for place in ["a1", "a2", "b1", "b2"] {
+        let key = key_for(place);
+        proxy.settles(plain(&key));
+        assert_eq!(proxy.last_place(), place);
+    }
+}
