--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -50,6 +50,7 @@
     }
 
     fn open(&self, line: &str, proxy: &mut Proxy) {
+        log::trace!("circuit {}: {line}", self.id.0);
         let Some(open) = Open::parse(line) else {
             log::warn!("circuit {}: a first line that is none", self.id.0);
             proxy.hands.tally.count("bad first lines");
