--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,6 @@
 //! what is decided; that interface and the shared types are in `host.rs`, the records kept in `record.rs`.
 //! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
 //! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
-//!
 //! Mechanisms beside the design, six at most:
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 2. distrust: a fading score from failures and late messages or probes, with the traffic following it;
@@ -78,8 +77,7 @@
 #[derive(Default)]
 struct Shelf {
     servers: RefCell<Vec<Rc<Server>>>,
-    /// The last few times that a connect took to stand, at any server: of one server alone a proxy among many
-    /// sees too few.
+    /// The last few times that a connect took to stand, at any server: of one alone a proxy sees too few.
     gaps: RefCell<VecDeque<Span>>,
     /// The groups of the last circuits that came for the first time.
     groups: RefCell<VecDeque<u64>>,
@@ -517,14 +515,16 @@
 
     /// A probe has been answered, or given up, after this long.
     pub fn probed(&mut self, server: &str, took: Span, now: Point, host: &mut dyn Host) {
-        // Measured beside message notes: 1.6 times the quickest where a message takes a quarter of its limit,
-        // twice and a little where it takes all of it; a probe in ten takes 1.7 times by chance.
+        // Measured beside message notes: 1.6 times the quickest at a quarter of the limit, 2 at all of it.
         const FROM: f64 = 1.6;
         const TO: f64 = 2.1;
         let Some(server) = self.shelf.find(server) else { return };
-        let quickest = server.quickest.get().map_or(took, |quickest| quickest.min(took));
-        server.quickest.set(Some(quickest));
-        self.strained(&server, (took.over(quickest) - FROM) / (TO - FROM), now, host);
+        // Longer than strain is let last; a freak answer sets the quickest no longer than that.
+        const SAMPLES: usize = 32;
+        let mut answers = server.answers.borrow_mut();
+        keep_last(SAMPLES, took, &mut answers);
+        let slower = answers.iter().min().map_or(1.0, |quickest| took.over(*quickest));
+        self.strained(&server, (slower - FROM) / (TO - FROM), now, host);
     }
 
     pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
--- a/src/record.rs
+++ b/src/record.rs
@@ -3,7 +3,7 @@
 use crate::host::{CircuitId, Effect, Ending, ServerId, Standing};
 use crate::time::{Point, Span};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 
 /// A server as this proxy knows it.
@@ -24,9 +24,9 @@
     pub(crate) distrust: Cell<(f64, Point)>,
     /// What is left of a cold server's budget, in connects, as it was at a moment.
     pub(crate) budget: Cell<(f64, Point)>,
-    /// When it was last probed, and the quickest that it answered.
+    /// When it was last probed, and how long its last answers took.
     pub(crate) probed: Cell<Point>,
-    pub(crate) quickest: Cell<Option<Span>>,
+    pub(crate) answers: RefCell<VecDeque<Span>>,
 }
 
 /// One connect of a circuit.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -482,3 +482,17 @@
         assert_eq!(proxy.last_place(), place);
     }
 }
+
+#[test]
+fn a_freak_answer_does_not_set_a_servers_quickest_for_good() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a1");
+    proxy.chooser.probed("a1", Span::from_ms(0.05), proxy.now, &mut proxy.notes);
+    for _ in 0..40 {
+        proxy.chooser.probed("a1", Span::millis(2), proxy.now, &mut proxy.notes);
+    }
+    proxy.passes(60_000);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("a1"));
+    proxy.chooser.probed("a1", Span::millis(2), proxy.now, &mut proxy.notes);
+    assert!(proxy.notes.sent_away.is_empty());
+}
