--- /dev/null
+++ b/crates/proxy/src/caller.rs
@@ -0,0 +1,79 @@
+//! A connection whose client has yet to send its first line. It costs one descriptor and the bytes of that
+//! line: it has no circuit and no rings until the line is there and can be used.
+
+use crate::line::{whole, Open, LONGEST};
+use crate::proxy::Proxy;
+use crate::socket::Socket;
+use shelfgrade::time::Point;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+pub struct Caller {
+    /// Its place in the order in which callers were last heard of.
+    pub number: Cell<u64>,
+    /// When it connected, or last asked for a sign of life.
+    pub since: Cell<Point>,
+    pub socket: Rc<Socket>,
+    begun: RefCell<Vec<u8>>,
+}
+
+impl Caller {
+    pub fn new(number: u64, socket: Socket, now: Point) -> Rc<Self> {
+        Rc::new(Caller {
+            number: Cell::new(number),
+            since: Cell::new(now),
+            socket: Rc::new(socket),
+            begun: RefCell::default(),
+        })
+    }
+
+    /// Reads what has come, to one byte past the longest line at most: more is never looked at.
+    pub fn ready(&self, proxy: &mut Proxy) {
+        if !proxy.door.holds(self) {
+            return;
+        }
+        let mut begun = self.begun.borrow_mut();
+        while self.socket.take(&mut begun, LONGEST + 3) > 0 {}
+        let gone = self.socket.ended.get().is_some();
+        match begun.iter().position(|b| *b == b'\n') {
+            _ if gone => proxy.door.forget(self),
+            // Guards against serving whoever does not wait for an answer: all that came is refused.
+            Some(end) if end + 1 < begun.len() => self.refuse("ERR", "more than a first line", proxy),
+            Some(_) => {
+                let line = std::mem::take(&mut *begun);
+                drop(begun);
+                self.says(&line, proxy);
+            }
+            None if begun.len() > LONGEST + 2 => self.refuse("ERR", "long lines", proxy),
+            None => {}
+        }
+    }
+
+    fn says(&self, line: &[u8], proxy: &mut Proxy) {
+        let line = whole(line);
+        if line == Some("PING") {
+            let answer = if proxy.is_ready() { "PONG" } else { "ERR" };
+            self.socket.tell(answer);
+            return proxy.heard_of(self);
+        }
+        match line.and_then(|line| Open::parse(line, &proxy.offerings)) {
+            // Guards against what servers refuse too: one id for two.
+            Some(open) if proxy.hands.has_open(open.id) => self.refuse("ERR", "ids in use", proxy),
+            Some(_) if proxy.hands.is_full() => {
+                self.refuse("BUSY", "pushed back for want of descriptors", proxy);
+            }
+            Some(open) => {
+                proxy.door.forget(self);
+                proxy.open(open, self.socket.clone());
+            }
+            None => self.refuse("ERR", "bad first lines", proxy),
+        }
+    }
+
+    /// Answers and closes at once. Guards against reading what else it sends, which may be without end.
+    pub fn refuse(&self, answer: &str, why: &'static str, proxy: &mut Proxy) {
+        proxy.hands.tally.complain(why);
+        self.socket.tell(answer);
+        proxy.door.forget(self);
+    }
+}
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -3,7 +3,8 @@
 //! Each direction ends by itself: `up_end` and `down_end` say how, once that is known, and the side that it
 //! leads to is ended the same way after the last byte of its ring.
 
-use crate::line::{Cutter, TooLong};
+use crate::hands::Hands;
+use crate::line::{Cutter, Open, TooLong};
 use crate::proxy::Proxy;
 use crate::ring::Ring;
 use crate::server::Connect;
@@ -18,14 +19,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// The client has yet to send its first line.
-    Greeting,
     /// The module is finding it a server.
     Asking,
     /// It stands: lines pass both ways.
     Standing,
     /// Over for the module; what is left to write is being written.
     Leaving,
+    /// Both connections are closed.
+    Closed,
 }
 
 pub struct Circuit {
@@ -33,10 +34,9 @@
     pub stage: Cell<Stage>,
     /// When that stage began.
     pub since: Cell<Point>,
-    pub client: Socket,
+    pub opening: Open,
+    pub client: Rc<Socket>,
     pub from_client: RefCell<Cutter>,
-    /// The first line, without its end.
-    pub opening: RefCell<String>,
     pub connect: RefCell<Option<Rc<Connect>>>,
     pub up: RefCell<Ring>,
     pub down: RefCell<Ring>,
@@ -50,14 +50,14 @@
 }
 
 impl Circuit {
-    pub fn new(id: CircuitId, client: Socket, ring: usize, now: Point) -> Rc<Self> {
+    pub fn new(id: CircuitId, opening: Open, client: Rc<Socket>, ring: usize, now: Point) -> Rc<Self> {
         Rc::new_cyclic(|me| Circuit {
             id,
-            stage: Cell::new(Stage::Greeting),
+            stage: Cell::new(Stage::Asking),
             since: Cell::new(now),
+            opening,
             client,
             from_client: RefCell::default(),
-            opening: RefCell::default(),
             connect: RefCell::default(),
             up: RefCell::new(Ring::new(ring)),
             down: RefCell::new(Ring::new(ring)),
@@ -69,6 +69,11 @@
         })
     }
 
+    /// A connection that was open before this proxy started.
+    pub fn is_taken_over(&self) -> bool {
+        self.opening.at.is_some()
+    }
+
     pub fn enter(&self, stage: Stage, now: Point) {
         self.stage.set(stage);
         self.since.set(now);
@@ -79,6 +84,9 @@
         // Guards against one busy circuit starving the rest: it goes on after the others had their turn.
         const ROUNDS: usize = 32;
         for _ in 0..ROUNDS {
+            if self.stage.get() == Stage::Closed {
+                return;
+            }
             let heard = self.hear_client(proxy) | self.hear_server(proxy);
             if !(self.flush() | heard) {
                 return self.wind_up(proxy);
@@ -125,11 +133,7 @@
     /// A peer has broken the protocol: its connection ends, and the circuit with it, however the module is
     /// told that it ended.
     pub fn foul(&self, _: TooLong, ending: Ending, proxy: &mut Proxy) {
-        log::warn!("circuit {}: a line over the longest", self.id.0);
-        proxy.hands.tally.count("long lines");
-        if self.stage.get() == Stage::Asking {
-            return self.give_up(proxy);
-        }
+        proxy.hands.tally.complain("long lines");
         self.server_ended(End::Fin, ending, proxy);
         self.enter(Stage::Leaving, proxy.now());
     }
@@ -152,14 +156,19 @@
     pub fn wind_up(&self, proxy: &mut Proxy) {
         let server_over = || self.connect.borrow().as_ref().is_none_or(|c| c.socket.is_over());
         if self.stage.get() == Stage::Leaving && self.client.is_over() && server_over() {
-            proxy.hands.forget(self.id);
+            self.close(&mut proxy.hands);
         }
     }
 
+    /// Closes both connections at once and forgets the circuit.
+    pub fn close(&self, hands: &mut Hands) {
+        self.connect.borrow_mut().take();
+        self.stage.set(Stage::Closed);
+        hands.forget(self);
+    }
+
     /// Looks after what no event comes for.
     pub fn beat(&self, proxy: &mut Proxy) {
-        // Long for a client on any network; it holds a descriptor meanwhile.
-        const FIRST_LINE_WITHIN: Span = Span::millis(30_000);
         // Long enough for a peer to end its side too, short enough to free the descriptors.
         const LAST_BYTES_WITHIN: Span = Span::millis(2000);
         // A line begun by the server must not be held up for longer than a second.
@@ -167,9 +176,10 @@
         let now = proxy.now();
         let past = now.since(self.since.get());
         match self.stage.get() {
-            Stage::Greeting if past > FIRST_LINE_WITHIN => proxy.hands.forget(self.id),
-            Stage::Asking if past > TAKE_OVER_WITHIN && self.is_taken_over() => self.answer("ERR", now),
-            Stage::Leaving if past > LAST_BYTES_WITHIN => proxy.hands.forget(self.id),
+            Stage::Asking if past > TAKE_OVER_WITHIN && self.is_taken_over() => {
+                self.answer("ERR", &mut proxy.hands);
+            }
+            Stage::Leaving if past > LAST_BYTES_WITHIN => self.close(&mut proxy.hands),
             Stage::Standing if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) => {
                 proxy.hands.tally.count("moved inside a line");
                 self.server_ended(End::Fin, Ending::CalledOff, proxy);
--- /dev/null
+++ b/crates/proxy/src/door.rs
@@ -0,0 +1,147 @@
+//! The door: accepts connections, and keeps those that have yet to send their first line.
+
+use crate::caller::Caller;
+use crate::proxy::{Proxy, BEAT};
+use crate::socket::Socket;
+use anyhow::{Context, Result};
+use calloop::generic::Generic;
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use shelfgrade::time::Span;
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+pub struct Door {
+    listener: TcpListener,
+    listening: RegistrationToken,
+    /// The one not heard of for longest comes first.
+    callers: BTreeMap<u64, Rc<Caller>>,
+    last_number: u64,
+}
+
+impl Door {
+    pub fn open(at: SocketAddr, handle: &LoopHandle<'static, Proxy>) -> Result<Self> {
+        let listener = listen(at).with_context(|| format!("cannot listen on {at}"))?;
+        let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
+        let listening = handle.insert_source(source, |_, _, proxy| {
+            proxy.accept();
+            Ok(PostAction::Continue)
+        });
+        let listening = listening.map_err(|fault| fault.error).context("listener")?;
+        Ok(Door { listener, listening, callers: BTreeMap::new(), last_number: 0 })
+    }
+
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    pub fn holds(&self, caller: &Caller) -> bool {
+        self.callers.contains_key(&caller.number.get())
+    }
+
+    pub fn forget(&mut self, caller: &Caller) {
+        self.callers.remove(&caller.number.get());
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    fn oldest(&self) -> Option<Rc<Caller>> {
+        self.callers.values().next().cloned()
+    }
+}
+
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    // Room for all clients to come at once; the system caps it.
+    const BACKLOG: i32 = 4096;
+    let socket =
+        socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::STREAM.cloexec(), None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+impl Proxy {
+    fn accept(&mut self) {
+        // Guards against a storm of clients starving those that are there.
+        const AT_ONCE: usize = 32;
+        for _ in 0..AT_ONCE {
+            match self.door.listener.accept() {
+                Ok((stream, _)) => match Socket::new(stream) {
+                    Ok(socket) => self.take_in(socket),
+                    Err(fault) => log::warn!("a client's socket: {fault}"),
+                },
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return,
+                Err(fault)
+                    if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(fault) => return self.accept_later(&fault),
+            }
+        }
+    }
+
+    /// Guards against spinning where descriptors have run out all the same.
+    fn accept_later(&mut self, fault: &std::io::Error) {
+        self.hands.tally.complain("accepting put off");
+        log::debug!("accept: {fault}");
+        let _ = self.hands.handle.disable(&self.door.listening);
+        let again = self.hands.handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
+            let _ = proxy.hands.handle.enable(&proxy.door.listening);
+            proxy.accept();
+            TimeoutAction::Drop
+        });
+        self.hands.tally.must(again.is_ok(), "a timer can be set");
+    }
+
+    fn take_in(&mut self, client: Socket) {
+        self.hands.tally.count("connections taken");
+        let caller = Caller::new(self.door.next_number(), client, self.now());
+        let weak = Rc::downgrade(&caller);
+        let watched = caller.socket.watch(&self.hands.handle, move |proxy| {
+            weak.upgrade().inspect(|caller| caller.ready(proxy));
+        });
+        if let Err(fault) = watched {
+            return log::warn!("a client's socket: {fault}");
+        }
+        self.door.callers.insert(caller.number.get(), caller.clone());
+        // Most have sent their line by now, and need no place among the callers.
+        caller.ready(self);
+        self.make_room();
+    }
+
+    /// Guards against connections that say nothing taking the descriptors of those that do: past what is left
+    /// for them, the one not heard of for longest goes.
+    pub fn make_room(&mut self) {
+        while self.door.callers.len() > self.hands.room_for_callers() {
+            let Some(oldest) = self.door.oldest() else { return };
+            oldest.ready(self);
+            if self.door.holds(&oldest) {
+                oldest.refuse("BUSY", "callers put out for room", self);
+            }
+        }
+    }
+
+    /// The caller asked for a sign of life: it counts as one that has just come.
+    pub fn heard_of(&mut self, caller: &Caller) {
+        let (number, now) = (self.door.next_number(), self.now());
+        if let Some(me) = self.door.callers.remove(&caller.number.replace(number)) {
+            caller.since.set(now);
+            self.door.callers.insert(number, me);
+        }
+    }
+
+    /// Puts out who has sent no first line in time.
+    pub fn sweep_callers(&mut self) {
+        // A client sends it at once; three seconds after connecting it is owed an answer or a close.
+        const FIRST_LINE_WITHIN: Span = Span::millis(2000);
+        let now = self.now();
+        while let Some(oldest) = self.door.oldest().filter(|c| now.since(c.since.get()) > FIRST_LINE_WITHIN) {
+            oldest.refuse("ERR", "silent callers", self);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/hands.rs
@@ -0,0 +1,240 @@
+//! What carries out the decisions: the servers and circuits that there are, and the calls of the module.
+
+use crate::circuit::{Circuit, Stage, TAKE_OVER_WITHIN};
+use crate::client::busy;
+use crate::clock::{duration, Clock};
+use crate::listing::Listing;
+use crate::proxy::Proxy;
+use crate::server::{Connect, Server};
+use crate::start::Limits;
+use crate::tally::Tally;
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::LoopHandle;
+use shelfgrade::host::{CircuitId, Ending, Host, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use std::cell::Cell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
+use std::rc::{Rc, Weak};
+
+/// What carries out the decisions.
+pub struct Hands {
+    pub handle: LoopHandle<'static, Proxy>,
+    pub tally: Rc<Tally>,
+    pub dial_time_out: Option<Span>,
+    pub may_probe: bool,
+    pub clock: Clock,
+    pub servers: BTreeMap<ServerId, Rc<Server>>,
+    /// The door: from the module's names to connections.
+    pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    pub last_id: u64,
+    /// By the clients' own ids.
+    pub ids: BTreeMap<u64, Weak<Circuit>>,
+    /// What waits for the list to name the server that held it before the start.
+    pub unplaced: Vec<Weak<Circuit>>,
+    pub sockets: usize,
+    /// What came of a call while the module was speaking, to be told when it has finished.
+    pub untold: VecDeque<(CircuitId, Ending, bool)>,
+    pub wants_list: Cell<bool>,
+    pub to_probe: VecDeque<Rc<Server>>,
+}
+
+impl Hands {
+    pub fn new(
+        handle: LoopHandle<'static, Proxy>,
+        limits: Limits,
+        dials: Option<Span>,
+        probes: bool,
+    ) -> Self {
+        Hands {
+            handle,
+            tally: Rc::default(),
+            dial_time_out: dials,
+            may_probe: probes,
+            clock: Clock::start(),
+            servers: BTreeMap::new(),
+            circuits: BTreeMap::new(),
+            last_id: 0,
+            ids: BTreeMap::new(),
+            unplaced: Vec::new(),
+            sockets: limits.sockets as usize,
+            untold: VecDeque::new(),
+            wants_list: Cell::new(false),
+            to_probe: VecDeque::new(),
+        }
+    }
+
+    pub fn next_id(&mut self) -> CircuitId {
+        self.last_id += 1;
+        CircuitId(self.last_id)
+    }
+
+    /// What is kept for callers, whatever else is held: a few of them find room even then.
+    fn kept_for_callers(&self) -> usize {
+        self.sockets / 16
+    }
+
+    /// Descriptors that are spoken for: each circuit's two, one a server for its probe, and our own.
+    fn spoken_for(&self) -> usize {
+        // For the listener, discovery, the loop and the log.
+        const SPARE: usize = 24;
+        2 * self.circuits.len() + self.servers.len() + SPARE
+    }
+
+    /// How many connections may be held that have sent no first line: what is left, a quarter at most, which
+    /// is far more than come at once where all clients speak.
+    pub fn room_for_callers(&self) -> usize {
+        let left = self.sockets.saturating_sub(self.spoken_for());
+        left.clamp(self.kept_for_callers(), self.sockets / 4)
+    }
+
+    /// Whether one more circuit might find no descriptor.
+    pub fn is_full(&self) -> bool {
+        self.spoken_for() + 2 + self.kept_for_callers() > self.sockets
+    }
+
+    /// Whether a circuit with this id waits or stands.
+    pub fn has_open(&self, id: u64) -> bool {
+        let holder = self.ids.get(&id).and_then(Weak::upgrade);
+        holder.is_some_and(|circuit| matches!(circuit.stage.get(), Stage::Asking | Stage::Standing))
+    }
+
+    pub fn forget(&mut self, circuit: &Circuit) {
+        self.circuits.remove(&circuit.id);
+        // Its id may have passed to another once it was leaving.
+        if self.ids.get(&circuit.opening.id).is_some_and(|holder| holder.ptr_eq(&circuit.me)) {
+            self.ids.remove(&circuit.opening.id);
+        }
+    }
+
+    /// Has a circuit go on after the others had their turn.
+    pub fn call_again(&self, circuit: &Circuit) {
+        let weak = circuit.me.clone();
+        let again = self.handle.insert_source(Timer::immediate(), move |_, _, proxy| {
+            weak.upgrade().inspect(|circuit| circuit.ready(proxy));
+            TimeoutAction::Drop
+        });
+        self.tally.must(again.is_ok(), "a timer can be set");
+    }
+
+    pub fn follow(&mut self, listing: &Listing) {
+        let lines = listing.lines();
+        if listing.whole {
+            let absent = |id: &ServerId| !lines.iter().any(|l| l.server == *id);
+            self.servers
+                .iter()
+                .filter(|(id, _)| absent(id))
+                .for_each(|(_, s)| s.standing.set(Standing::Gone));
+        }
+        for (line, entry) in lines.iter().zip(&listing.entries) {
+            let server = self.servers.get(&line.server).cloned().or_else(|| {
+                let server = Server {
+                    id: line.server.clone(),
+                    standing: Cell::new(line.standing),
+                    dial: Cell::new(entry.dial?),
+                    pulse: Default::default(),
+                    probe: Default::default(),
+                };
+                Some(Rc::new(server))
+            });
+            let Some(server) = server else { continue };
+            server.standing.set(line.standing);
+            server.dial.set(entry.dial.unwrap_or(server.dial.get()));
+            self.servers.insert(line.server.clone(), server);
+        }
+        self.servers.retain(|_, server| server.standing.get() != Standing::Gone);
+    }
+
+    /// Connects a circuit to the server that its line names, or leaves it for when the list names that one.
+    pub fn take_over(&mut self, circuit: &Rc<Circuit>) {
+        let server = circuit.opening.at.as_ref().and_then(|at| self.servers.get(at.as_str()).cloned());
+        let Some(server) = server else { return self.unplaced.push(circuit.me.clone()) };
+        match Connect::begin(circuit, server, TAKE_OVER_WITHIN, self.clock.now(), self) {
+            Ok(connect) => drop(circuit.connect.replace(Some(connect))),
+            Err(fault) => {
+                log::warn!("circuit {}: {fault}", circuit.id.0);
+                circuit.answer("ERR", self);
+            }
+        }
+    }
+
+    pub fn take_over_waiting(&mut self) {
+        for circuit in std::mem::take(&mut self.unplaced).iter().filter_map(Weak::upgrade) {
+            if circuit.stage.get() == Stage::Asking {
+                self.take_over(&circuit);
+            }
+        }
+    }
+}
+
+impl Host for Hands {
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span) {
+        let (found, server) = (self.circuits.get(&circuit).cloned(), self.servers.get(server).cloned());
+        self.tally
+            .must(found.is_some() && server.is_some(), "a connect is for a circuit and a server that are");
+        let begun = match (&found, server) {
+            (Some(found), Some(server)) => {
+                self.tally.must(found.connect.borrow().is_none(), "one connect at a time");
+                Connect::begin(found, server, time_out, self.clock.now(), self)
+            }
+            _ => return self.untold.push_back((circuit, Ending::Moot, false)),
+        };
+        match (begun, found) {
+            (Ok(connect), Some(found)) => drop(found.connect.replace(Some(connect))),
+            (Err(fault), _) => {
+                // Out of descriptors, or refused at once: nothing was sent.
+                log::warn!("circuit {}: {fault}", circuit.0);
+                let refused = fault.kind() == ErrorKind::ConnectionRefused;
+                let ending = if refused { Ending::Unreachable } else { Ending::Moot };
+                self.untold.push_back((circuit, ending, false));
+            }
+            _ => {}
+        }
+    }
+
+    fn push_back(&mut self, circuit: CircuitId, pause: Span) {
+        self.tally.count("pushed back");
+        if let Some(circuit) = self.circuits.get(&circuit).cloned() {
+            circuit.answer(&busy(pause), self);
+        }
+    }
+
+    fn forfeit(&mut self, circuit: CircuitId) {
+        self.tally.count("forfeited");
+        if let Some(circuit) = self.circuits.get(&circuit).cloned() {
+            circuit.answer("ERR", self);
+        }
+    }
+
+    fn send_away(&mut self, circuit: CircuitId) {
+        self.tally.count("sent away");
+        let now = self.clock.now();
+        let Some(circuit) = self.circuits.get(&circuit).filter(|c| c.stage.get() == Stage::Standing) else {
+            return;
+        };
+        circuit.leaving_line.set(Some(now));
+        if circuit.try_moving(now) {
+            self.untold.push_back((circuit.id, Ending::CalledOff, true));
+        }
+    }
+
+    fn probe(&mut self, server: &ServerId) {
+        let server = self.servers.get(server).filter(|_| self.may_probe);
+        self.to_probe.extend(server.cloned());
+    }
+
+    fn subscribe(&mut self) {
+        self.wants_list.set(true);
+    }
+
+    fn wake(&mut self, at: Point) {
+        let timer = Timer::from_duration(duration(at.since(self.clock.now())));
+        let set = self.handle.insert_source(timer, |_, _, proxy| {
+            let now = proxy.now();
+            proxy.chooser.woke(now, &mut proxy.hands);
+            proxy.settle();
+            TimeoutAction::Drop
+        });
+        self.tally.must(set.is_ok(), "a timer can be set");
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,10 +5,13 @@
 
 pub mod start;
 
+mod caller;
 mod circuit;
 mod client;
 mod clock;
 mod discovery;
+mod door;
+mod hands;
 mod line;
 mod listing;
 mod probe;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -2,9 +2,10 @@
 
 use crate::circuit::{Circuit, Stage};
 use crate::clock::duration;
-use crate::line::{text, with_wait, Cutter};
+use crate::hands::Hands;
+use crate::line::{text, Cutter};
 use crate::probe::Probe;
-use crate::proxy::{Hands, Proxy};
+use crate::proxy::Proxy;
 use crate::pulse::Pulse;
 use crate::ring::Ring;
 use crate::socket::{End, Socket};
@@ -139,7 +140,7 @@
             match connect.socket.is_up() {
                 Ok(false) => return false,
                 Ok(true) if self.may_begin(&connect) => {
-                    let line = with_wait(&self.opening.borrow(), connect.gives_up.since(proxy.now()));
+                    let line = self.opening.for_server(connect.gives_up.since(proxy.now()));
                     let mut first = Ring::new(line.len());
                     first.push(line.as_bytes());
                     *connect.first.borrow_mut() = first;
@@ -262,13 +263,8 @@
         self.connect.borrow_mut().take();
         self.down.borrow_mut().clear();
         if self.is_taken_over() {
-            return self.answer("ERR", proxy.now());
+            return self.answer("ERR", &mut proxy.hands);
         }
         proxy.ended(self.id, ending, false);
     }
-
-    /// A connection that was open before this proxy started.
-    pub fn is_taken_over(&self) -> bool {
-        crate::line::Open::parse(&self.opening.borrow()).is_some_and(|open| open.field("at").is_some())
-    }
 }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -4,8 +4,8 @@
 use crate::ring::Ring;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use std::cell::Cell;
-use std::io::{self, ErrorKind};
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,9 +17,13 @@
     Reset,
 }
 
+type Callback = Rc<dyn Fn(&mut Proxy)>;
+
 pub struct Socket {
     stream: Rc<TcpStream>,
     watch: Cell<Option<(LoopHandle<'static, Proxy>, RegistrationToken)>>,
+    /// What is called when it may have become readable or writable.
+    ready: Rc<RefCell<Callback>>,
     /// Set once the peer has ended, however that was noticed.
     pub ended: Cell<Option<End>>,
     /// Set once our side has ended.
@@ -33,6 +37,7 @@
         Ok(Socket {
             stream: Rc::new(stream),
             watch: Cell::default(),
+            ready: Rc::new(RefCell::new(Rc::new(|_| {}))),
             ended: Cell::default(),
             closed: Cell::default(),
         })
@@ -58,17 +63,25 @@
     pub fn watch(
         &self,
         handle: &LoopHandle<'static, Proxy>,
-        mut ready: impl FnMut(&mut Proxy) + 'static,
+        ready: impl Fn(&mut Proxy) + 'static,
     ) -> io::Result<()> {
+        self.on_ready(ready);
+        let ready = self.ready.clone();
         let source = Generic::new(self.stream.clone(), Interest::BOTH, Mode::Edge);
         let token = handle.insert_source(source, move |_, _, proxy| {
-            ready(proxy);
+            let call = ready.borrow().clone();
+            call(proxy);
             Ok(PostAction::Continue)
         });
         self.watch.set(Some((handle.clone(), token.map_err(|fault| io::Error::other(fault.error))?)));
         Ok(())
     }
 
+    /// Has something else called from now on.
+    pub fn on_ready(&self, ready: impl Fn(&mut Proxy) + 'static) {
+        *self.ready.borrow_mut() = Rc::new(ready);
+    }
+
     /// Whether a connect has come up; an error where it has failed.
     pub fn is_up(&self) -> io::Result<bool> {
         if let Some(fault) = self.stream.take_error()? {
@@ -93,6 +106,28 @@
         read.unwrap_or(0)
     }
 
+    /// Reads once to the end of `into`, which holds so many bytes at most.
+    pub fn take(&self, into: &mut Vec<u8>, most: usize) -> usize {
+        let held = into.len();
+        if self.ended.get().is_some() || held >= most {
+            return 0;
+        }
+        into.resize(most, 0);
+        let read = self.settle(|mut stream| stream.read(&mut into[held..]));
+        into.truncate(held + read.unwrap_or(0));
+        if read == Some(0) {
+            self.ended.set(Some(End::Fin));
+        }
+        read.unwrap_or(0)
+    }
+
+    /// Writes a line of our own to a peer that nothing else is being written to.
+    pub fn tell(&self, line: &str) {
+        let line = format!("{line}\r\n");
+        // A peer that has no room for so little has not read its last answers either.
+        let _ = self.settle(|mut stream| stream.write(line.as_bytes()));
+    }
+
     /// Writes once from the ring.
     pub fn write(&self, ring: &mut Ring) -> usize {
         if ring.is_empty() {
--- a/crates/proxy/src/tally.rs
+++ b/crates/proxy/src/tally.rs
@@ -14,6 +14,15 @@
         *self.counts.borrow_mut().entry(what).or_default() += 1;
     }
 
+    /// Counts what a peer did wrong. Guards against bad peers filling the log: only each doubling is told.
+    pub fn complain(&self, what: &'static str) {
+        self.count(what);
+        let so_far = self.counts.borrow()[what];
+        if so_far.is_power_of_two() {
+            log::warn!("{what}: {so_far} so far");
+        }
+    }
+
     /// What must hold: asserted in debug builds, counted in release builds.
     pub fn must(&self, holds: bool, what: &'static str) {
         debug_assert!(holds, "{what}");
