--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -18,14 +18,15 @@
 // A call that has had no answer for this long after its wait is lost: less than the two seconds after which
 // its news would count as told.
 const SLACK: Span = Span::millis(1500);
-// A call that does not wait is answered sooner, and a connection comes up sooner still.
-const AT_ONCE: Span = Span::millis(5000);
-const DIAL: Span = Span::millis(2000);
+// A call that does not wait, and a connection: short enough for another try in the four seconds after which
+// the list of a new discovery counts as told.
+const AT_ONCE: Span = Span::millis(3000);
+const DIAL: Span = Span::millis(1000);
 // Far more than any list.
 const LONGEST_ANSWER: usize = 4 << 20;
 
 pub struct Discovery {
-    at: SocketAddr,
+    at: Cell<SocketAddr>,
     seq: Cell<Option<u64>>,
     socket: RefCell<Option<Rc<Socket>>>,
     request: RefCell<Ring>,
@@ -39,7 +40,7 @@
     /// `seq` is the version of the list held, if there is one.
     pub fn new(at: SocketAddr, seq: Option<u64>) -> Rc<Self> {
         Rc::new(Discovery {
-            at,
+            at: Cell::new(at),
             seq: Cell::new(seq),
             socket: RefCell::default(),
             request: RefCell::new(Ring::new(512)),
@@ -50,6 +51,20 @@
         })
     }
 
+    /// From now on another one is asked; true if it is another. Guards against hearing both: what the old one
+    /// was asked is dropped with its connection and its time-out, and as versions may not match, the new one
+    /// is asked for the whole list.
+    pub fn move_to(&self, at: SocketAddr, proxy: &Proxy) -> bool {
+        let moves = self.at.replace(at) != at;
+        if moves {
+            self.stop_timer(proxy);
+            self.socket.take();
+            self.calling.set(false);
+            self.seq.set(None);
+        }
+        moves
+    }
+
     /// Asks for what is newer than the list held, or for all of it; where a call is out, that one serves.
     pub fn call(self: &Rc<Self>, proxy: &mut Proxy) {
         if self.calling.replace(true) {
@@ -61,7 +76,7 @@
         };
         let mut request = self.request.borrow_mut();
         request.clear();
-        request.push(format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.at).as_bytes());
+        request.push(format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.at.get()).as_bytes());
         drop(request);
         self.answer.borrow_mut().clear();
         let dialled = self.dial(proxy);
@@ -86,7 +101,7 @@
 
     fn dial(self: &Rc<Self>, proxy: &mut Proxy) -> std::io::Result<()> {
         if self.socket.borrow().is_none() {
-            let socket = Rc::new(Socket::dial(self.at)?);
+            let socket = Rc::new(Socket::dial(self.at.get())?);
             let me = self.clone();
             socket.watch(&proxy.hands.handle, move |proxy| me.ready(proxy))?;
             *self.socket.borrow_mut() = Some(socket);
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -50,8 +50,11 @@
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().context("event loop")?;
     let handle = events.handle();
     let door = Door::open(start.listen, &handle)?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).context("signals")?;
-    let signals = handle.insert_source(signals, |_, _, proxy| proxy.told_to_end());
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
+    let signals = handle.insert_source(signals, |event, _, proxy| match event.signal() {
+        Signal::SIGHUP => proxy.told_to_read_again(),
+        _ => proxy.told_to_end(),
+    });
     signals.map_err(|fault| fault.error).context("signals")?;
     let beat = handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
         proxy.beat();
@@ -242,6 +245,21 @@
         }
     }
 
+    /// Reads the start-up file again and follows its `discovery`; all else in it counts at the next start.
+    /// Guards against a bad file: it leaves everything as it was.
+    fn told_to_read_again(&mut self) {
+        let start = match Start::from_environment() {
+            Ok(start) => start,
+            Err(fault) => return log::error!("not read again, nothing changes: {fault:#}"),
+        };
+        let moves = self.discovery.clone().move_to(start.discovery, self);
+        log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
+        if moves {
+            self.chooser.list_moved(&mut self.hands);
+            self.settle();
+        }
+    }
+
     fn told_to_end(&mut self) {
         log::info!("told to end, with {} connections", self.hands.circuits.len());
         let now = self.now();
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -341,6 +341,51 @@
     assert_eq!(silent.line(), "", "given up by closing");
 }
 
+#[test]
+fn a_new_discovery_is_asked_for_all_at_once_and_nothing_that_stands_is_touched() {
+    let (one, two) = (Place::new("s1"), Place::new("s2"));
+    let mut program = Program::start(USUAL, &[&one]);
+    let (mut client, mut at_server) = program.settles(&one);
+    let (mut old, path) = program.discovery.called();
+    assert!(path.contains("index=7"), "{path}");
+    program.reads_again("{ no file");
+    assert!(program.logs().contains("not read again, nothing changes"));
+    program.reads_again(&program.text.clone());
+    assert!(program.logs().contains("as before"));
+    assert!(old.is_quiet(), "its watch goes on");
+
+    // The new one refuses at first.
+    let closed = Place::closed("discovery");
+    let began = Instant::now();
+    program.reads_again(&program.text_with(&closed));
+    assert_eq!(old.line(), "", "its connection is dropped");
+    let new = closed.opens_again();
+    let (mut call, path) = new.called();
+    assert_eq!(path, "/catalog/members", "versions may not match");
+    call.say(&list(2, true, &[two.entry("in_service")]));
+    assert!(next_call(&mut call).contains("index=2"));
+    assert!(began.elapsed() < Duration::from_secs(4));
+    client.say("M 1\r\n");
+    assert_eq!(at_server.line(), "M 1");
+    let mut next = program.opens("lift-1", ",d=3000");
+    two.serve();
+    assert_eq!(next.line(), "UP 0123");
+
+    // Once more, to one that takes the connection and says nothing; then it is told to end as well.
+    let last = Place::new("discovery");
+    program.reads_again(&program.text_with(&last));
+    let (mut silent, _) = last.called();
+    let (mut call, path) = last.called();
+    assert_eq!((silent.line(), &*path), (String::new(), "/catalog/members"));
+    call.say(&list(1, true, &[one.entry("in_service")]));
+    next_call(&mut call);
+    program.reads_again(&program.text_with(&new));
+    program.terminate();
+    let (mut call, _) = new.called();
+    call.say(&list(3, true, &[two.entry("in_service")]));
+    assert!(program.ends().contains("connections up 2"));
+}
+
 #[test]
 fn told_to_end_it_takes_who_still_comes_answers_and_leaves_the_rest_to_the_front() {
     let server = Place::new("s1");
--- a/crates/proxy/tests/stand/mod.rs
+++ b/crates/proxy/tests/stand/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins on loopback for clients, servers and discovery, and the program itself.
 
+use rustix::process::{Pid, Signal};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -95,6 +96,13 @@
         place
     }
 
+    /// One that refused so far, at the same address.
+    pub fn opens_again(self) -> Self {
+        let listener = TcpListener::bind(self.address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Place { listener: Some(listener), ..self }
+    }
+
     /// One whose queue is full, so that a connect does not come up until something is accepted.
     pub fn clogged(name: &str) -> (Self, TcpStream) {
         let place = Self::new(name);
@@ -173,6 +181,7 @@
     pub address: SocketAddr,
     pub discovery: Place,
     config: std::path::PathBuf,
+    pub text: String,
 }
 
 impl Program {
@@ -200,7 +209,7 @@
         log.read_line(&mut line).unwrap();
         let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
         let address = address.unwrap_or_else(|| panic!("did not start: {line}")).parse().unwrap();
-        Program { child, log, address, discovery, config }
+        Program { child, log, address, discovery, config, text }
     }
 
     pub fn launch(config: &str) -> (Child, std::path::PathBuf) {
@@ -243,9 +252,32 @@
         wire
     }
 
+    /// Puts this in place of the start-up file, and has it read again.
+    pub fn reads_again(&self, text: &str) {
+        let new = self.config.with_extension("new");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(&new, &self.config).unwrap();
+        self.signal(Signal::HUP);
+    }
+
+    /// The start-up file with another discovery.
+    pub fn text_with(&self, discovery: &Place) -> String {
+        self.text.replace(&self.discovery.address.to_string(), &discovery.address.to_string())
+    }
+
+    /// The next line that it logs.
+    pub fn logs(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).unwrap();
+        line
+    }
+
+    fn signal(&self, signal: Signal) {
+        rustix::process::kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
     pub fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
     }
 
     /// The exit code, and what was logged at the last.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,9 +51,8 @@
 
     /// Whether a pushback's promise, that another try is harmless, would be true.
     fn may_push_back(&self) -> bool {
-        let anywhere =
-            matches!(self.effect, Effect::Replayable | Effect::Referenced { among: Circle::All, .. });
-        anywhere || self.may_have_run().is_none()
+        matches!(self.effect, Effect::Replayable | Effect::Referenced { among: Circle::All, .. })
+            || self.may_have_run().is_none()
     }
 }
 
@@ -81,8 +80,7 @@
     gaps: RefCell<VecDeque<Span>>,
     /// The groups of the last circuits that came for the first time.
     groups: RefCell<VecDeque<u64>>,
-    /// How many connects are out, and how many may be.
-    out: Cell<u32>,
+    /// How many connects may be out.
     window: Cell<f64>,
     seed: u64,
 }
@@ -92,7 +90,8 @@
     const WIDEST: f64 = 16.0;
 
     fn has_turn(&self) -> bool {
-        f64::from(self.out.get()) < self.window.get()
+        let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
+        f64::from(out) < self.window.get()
     }
 
     fn find(&self, id: &str) -> Option<Rc<Server>> {
@@ -150,8 +149,8 @@
     /// The mean distrust of the servers that hold circuits of this proxy: how strained the fleet is.
     fn strain(&self, now: Point) -> f64 {
         let servers = self.servers.borrow();
-        let known: Vec<_> = servers.iter().filter(|s| s.open() > 0.0).map(|s| s.distrust(now)).collect();
-        known.iter().sum::<f64>() / known.len().max(1) as f64
+        let holding = || servers.iter().filter(|s| s.open() > 0.0);
+        holding().map(|s| s.distrust(now)).sum::<f64>() / holding().count().max(1) as f64
     }
 }
 
@@ -226,11 +225,9 @@
     fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
         let may_try = circuit.connects.borrow().len() < self.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
-        let passes = may_try && (circuit.mid_flow || self.shelf.has_turn());
-        if passes {
-            Step::Pass
-        } else {
-            Step::End
+        match may_try && (circuit.mid_flow || self.shelf.has_turn()) {
+            true => Step::Pass,
+            false => Step::End,
         }
     }
 
@@ -267,10 +264,10 @@
         const USED: f64 = 0.5;
         let present = self.cold_from + (1.0 - self.cold_from) * age;
         let (left, at) = server.budget.get();
-        let gained = now.since(at).as_ms() * usual * USED * self.fall_multiple * present;
+        let now_left = left + now.since(at).as_ms() * usual * USED * self.fall_multiple * present;
         // Never saves up for more than one connect.
-        server.budget.set(((left + gained).min(1.0), now));
-        left + gained >= 1.0
+        server.budget.set((now_left.min(1.0), now));
+        now_left >= 1.0
     }
 }
 
@@ -375,7 +372,6 @@
         let (budget, at) = server.budget.get();
         server.budget.set((budget - 1.0, at));
         server.waiting.set(server.waiting.get() + 1);
-        self.shelf.out.set(self.shelf.out.get() + 1);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
         Step::Keep
@@ -390,7 +386,6 @@
             return;
         }
         server.waiting.set(server.waiting.get().saturating_sub(1));
-        self.shelf.out.set(self.shelf.out.get().saturating_sub(1));
         let word = connect.ending != Some(Ending::TimedOut);
         if word || server.waiting.get() == 0 {
             server.silent_since.set((server.waiting.get() > 0).then_some(now));
@@ -471,6 +466,12 @@
         self.shelf.follow(lines, whole, now);
     }
 
+    /// Another service gives the list from now on: it is asked at once, whatever the old one's failures.
+    pub fn list_moved(&mut self, host: &mut dyn Host) {
+        self.list_failures = 0;
+        host.subscribe();
+    }
+
     /// A call for the list has failed, or the subscription has broken.
     pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
         self.list_failures += 1;
@@ -549,9 +550,9 @@
     /// A connect has ended; `done` where the client has its final answer by now.
     pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool, now: Point, host: &mut dyn Host) {
         let Some(circuit) = self.circuits.get(&circuit).cloned() else { return };
-        let stood = circuit.stands.get();
+        let over = done || circuit.stands.get() || circuit.answered.get();
         self.bring_back(&circuit, Some(ending), now);
-        if done || stood || circuit.answered.get() {
+        if over {
             self.circuits.remove(&circuit.id);
         } else {
             self.offer(&circuit, now, host);
@@ -599,9 +600,9 @@
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
         let guest = |g| before(g) >= self.shelf.width(g, active().count());
-        let held: Vec<_> = server.held.borrow().values().filter_map(Weak::upgrade).collect();
-        let weighed =
-            held.iter().filter(|c| !c.answered.get()).map(|c| (c.group.is_some_and(guest), c.load.get(), c));
+        let held = server.held.borrow();
+        let held = held.values().filter_map(Weak::upgrade).filter(|c| !c.answered.get());
+        let weighed = held.map(|c| (c.group.is_some_and(guest), c.load.get(), c));
         let first = weighed.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         if let Some((_, _, circuit)) = first.filter(|(guest, ..)| *guest || piled_up) {
             circuit.answered.set(true);
