--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod discovery;
 mod door;
+mod ending;
 mod hands;
 mod line;
 mod listing;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -15,7 +15,7 @@
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, LoopSignal};
 use shelfgrade::choice::Chooser;
-use shelfgrade::host::{Arrival, CircuitId, Ending, Host, ServerId};
+use shelfgrade::host::{Arrival, CircuitId, Ending, ServerId};
 use shelfgrade::time::{Point, Span};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,12 +32,11 @@
     discovery: Rc<Discovery>,
     /// The size of one ring.
     ring: usize,
-    passes_through: bool,
-    stop: LoopSignal,
+    pub stop: LoopSignal,
     pulses_taken: Point,
     /// Since when it has been told to end, and when the last circuit came.
-    told_to_end: Option<Point>,
-    last_arrival: Point,
+    pub told_to_end: Option<Point>,
+    pub last_arrival: Point,
 }
 
 /// Serves until told to end.
@@ -73,7 +72,6 @@
         door,
         discovery: Discovery::new(start.discovery, seq),
         ring,
-        passes_through: start.terms.passes_through,
         stop: events.get_signal(),
         pulses_taken: now,
         told_to_end: None,
@@ -259,44 +257,6 @@
             self.settle();
         }
     }
-
-    fn told_to_end(&mut self) {
-        log::info!("told to end, with {} connections", self.hands.circuits.len());
-        let now = self.now();
-        self.told_to_end.get_or_insert(now);
-    }
-
-    /// Ends when no more circuits come and all that came are answered.
-    fn end_when_done(&mut self, circuits: &[Rc<Circuit>]) {
-        // Clients go on coming for a little while after the signal.
-        const QUIET_FOR: Span = Span::millis(500);
-        // The longest patience of a circuit is three seconds; killing comes 0.7 s after that.
-        const OPEN_FOR: Span = Span::millis(3200);
-        const GONE_WITHIN: Span = Span::millis(3600);
-        let now = self.now();
-        let Some(past) = self.told_to_end.map(|told| now.since(told)) else { return };
-        if past < QUIET_FOR || now.since(self.last_arrival) < QUIET_FOR && past < OPEN_FOR {
-            return;
-        }
-        let in_stage = |stage| circuits.iter().filter(move |c| c.stage.get() == stage);
-        if !self.passes_through {
-            for circuit in in_stage(Stage::Standing).filter(|c| c.leaving_line.get().is_none()) {
-                self.hands.send_away(circuit.id);
-            }
-            self.settle();
-        }
-        if past >= OPEN_FOR {
-            for circuit in in_stage(Stage::Asking) {
-                self.hands.tally.count("forfeited at the end");
-                circuit.answer("ERR", &mut self.hands);
-            }
-        }
-        let standing = !self.passes_through && in_stage(Stage::Standing).next().is_some();
-        let leaving = in_stage(Stage::Leaving).any(|c| !c.client.is_over());
-        if past >= GONE_WITHIN || !(standing || leaving || in_stage(Stage::Asking).next().is_some()) {
-            self.stop.stop();
-        }
-    }
 }
 
 fn arrival(circuit: &Circuit, patience_ends: Point) -> Arrival<'_> {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -78,16 +78,6 @@
 struct Extra {
     #[serde(default)]
     message_aim_ms: Vec<f64>,
-    #[serde(default)]
-    mode: Mode,
-}
-
-#[derive(Deserialize, Default, PartialEq)]
-#[serde(rename_all = "snake_case")]
-enum Mode {
-    #[default]
-    Proxy,
-    Pass,
 }
 
 /// A proxy's terms, read.
@@ -99,8 +89,6 @@
     pub dial_time_out: Option<Span>,
     /// Probes are allowed.
     pub may_probe: bool,
-    /// Packets pass through: what stands outlives the proxy.
-    pub passes_through: bool,
 }
 
 /// Reads the terms from the text of their JSON object.
@@ -144,6 +132,5 @@
         offerings: offerings.into_iter().map(|o| o.name).collect(),
         dial_time_out: Some(bounds.dial_timeout_ms).filter(|ms| *ms > 0.0).map(Span::from_ms),
         may_probe: bounds.probes,
-        passes_through: extra.mode == Mode::Pass,
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -82,6 +82,7 @@
     groups: RefCell<VecDeque<u64>>,
     /// How many connects may be out.
     window: Cell<f64>,
+    most_connects: usize,
     seed: u64,
 }
 
@@ -182,20 +183,15 @@
 
 /// First stage: the bounded, aged table that answers mid-flow circuits.
 struct Recall {
-    /// By client key: the server, and when the connection ended if it has.
-    table: BTreeMap<u64, (Weak<Server>, Option<Point>)>,
+    /// By client key: the server, and until when that is known.
+    table: BTreeMap<u64, (Weak<Server>, Point)>,
     swept: Point,
 }
 
-fn aged(ended: Option<Point>, now: Point) -> bool {
-    ended.is_some_and(|at| now.since(at) >= TABLE_TIME_OUT)
-}
-
 impl Stage for Recall {
     fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
         if circuit.mid_flow && circuit.connects.borrow().is_empty() {
-            let known = self.table.get(&circuit.key).filter(|(_, ended)| !aged(*ended, now));
-            let server = known.and_then(|(server, _)| server.upgrade());
+            let server = self.table.get(&circuit.key).filter(|k| now < k.1).and_then(|k| k.0.upgrade());
             *pick = server.filter(|s| s.standing.get() == Standing::Active);
         }
         Step::Pass
@@ -206,11 +202,11 @@
         const MOST_KEYS: usize = 100_000;
         if now.since(self.swept) > TABLE_TIME_OUT {
             self.swept = now;
-            self.table.retain(|_, (_, ended)| !aged(*ended, now));
+            self.table.retain(|_, (_, until)| now < *until);
         }
-        let ended = connect.ending.map(|_| now);
-        if (ended.is_none() || circuit.stands.get()) && self.table.len() < MOST_KEYS {
-            self.table.insert(circuit.key, (Rc::downgrade(&connect.server), ended));
+        if (connect.ending.is_none() || circuit.stands.get()) && self.table.len() < MOST_KEYS {
+            let until = connect.ending.map_or(Point::NEVER, |_| now + TABLE_TIME_OUT);
+            self.table.insert(circuit.key, (Rc::downgrade(&connect.server), until));
         }
     }
 }
@@ -218,12 +214,12 @@
 /// Second stage: keeps to as many connects at once as something that all servers share can bear.
 struct Pacing {
     shelf: Rc<Shelf>,
-    most_connects: usize,
 }
 
 impl Stage for Pacing {
     fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
-        let may_try = circuit.connects.borrow().len() < self.most_connects && now < circuit.patience_ends;
+        let may_try =
+            circuit.connects.borrow().len() < self.shelf.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
         match may_try && (circuit.mid_flow || self.shelf.has_turn()) {
             true => Step::Pass,
@@ -352,14 +348,13 @@
 /// Last stage: sends the connect and measures what comes back.
 struct Dispatch {
     shelf: Rc<Shelf>,
-    most_connects: usize,
 }
 
 impl Stage for Dispatch {
     fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, host: &mut dyn Host) -> Step {
         let Some(server) = pick.take() else { return Step::End };
         let left = circuit.patience_ends.since(now);
-        let last = circuit.connects.borrow().len() + 1 >= self.most_connects;
+        let last = circuit.connects.borrow().len() + 1 >= self.shelf.most_connects;
         // Guards against a patience spent on one silent server: half of what is left stays for another.
         let half = left.times(0.5);
         let time_out = match self.shelf.unusual_after() {
@@ -434,7 +429,8 @@
         must_ask_in: Option<Span>,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf = Rc::new(Shelf { seed, window: Cell::new(Shelf::WIDEST), ..Shelf::default() });
+        let shelf =
+            Rc::new(Shelf { seed, most_connects, window: Cell::new(Shelf::WIDEST), ..Shelf::default() });
         Chooser {
             message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
@@ -445,9 +441,9 @@
             looks_at: None,
             stages: [
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
-                Box::new(Pacing { shelf: shelf.clone(), most_connects }),
+                Box::new(Pacing { shelf: shelf.clone() }),
                 Box::new(Placement { shelf: shelf.clone(), warm_up }),
-                Box::new(Dispatch { shelf: shelf.clone(), most_connects }),
+                Box::new(Dispatch { shelf: shelf.clone() }),
             ],
             shelf,
             chance: WyRand::new_seed(seed),
@@ -543,8 +539,7 @@
 
     /// The circuit's connection is established.
     pub fn stands(&mut self, circuit: CircuitId, now: Point) {
-        let Some(circuit) = self.circuits.get(&circuit).cloned() else { return };
-        self.bring_back(&circuit, None, now);
+        self.circuits.get(&circuit).cloned().into_iter().for_each(|c| self.bring_back(&c, None, now));
     }
 
     /// A connect has ended; `done` where the client has its final answer by now.
@@ -612,10 +607,15 @@
 
     /// The client has left; nothing more may be sent for the circuit.
     pub fn left(&mut self, circuit: CircuitId) {
-        let Some(found) = self.circuits.get(&circuit) else { return };
-        found.answered.set(true);
-        if found.connects.borrow().last().is_none_or(|c| c.ending.is_some()) {
-            self.circuits.remove(&circuit);
+        self.circuits.get(&circuit).inspect(|c| c.answered.set(true));
+    }
+
+    /// This proxy ends, and this is called so many times till then. Guards against a crowd of all its clients.
+    pub fn ends(&mut self, calls_left: usize, host: &mut dyn Host) {
+        let staying = || self.circuits.values().filter(|c| c.stands.get() && !c.answered.get());
+        for circuit in staying().take(staying().count().div_ceil(calls_left.max(1))) {
+            circuit.answered.set(true);
+            host.send_away(circuit.id);
         }
     }
 
--- a/src/time.rs
+++ b/src/time.rs
@@ -11,6 +11,9 @@
 pub struct Span(u64);
 
 impl Point {
+    /// Later than all that comes.
+    pub const NEVER: Point = Point(u64::MAX);
+
     pub fn from_ms(ms: f64) -> Self {
         Point((ms * 1000.0).round() as u64)
     }
