--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -57,11 +57,10 @@
             return proxy.heard_of(self);
         }
         match line.and_then(|line| Open::parse(line, &proxy.offerings)) {
-            // Guards against what servers refuse too: one id for two.
-            Some(open) if proxy.hands.has_open(open.id) => self.refuse("ERR", "ids in use", proxy),
             Some(_) if proxy.hands.is_full() => {
                 self.refuse("BUSY", "pushed back for want of descriptors", proxy);
             }
+            Some(open) if !proxy.door.is_new(open.id) => self.refuse("ERR", "ids in use", proxy),
             Some(open) => {
                 proxy.door.forget(self);
                 proxy.open(open, self.socket.clone());
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -8,7 +8,7 @@
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use shelfgrade::time::Span;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -19,6 +19,8 @@
     /// The one not heard of for longest comes first.
     callers: BTreeMap<u64, Rc<Caller>>,
     last_number: u64,
+    /// The last ids that circuits came with, in their order and by their value.
+    ids: (VecDeque<u64>, BTreeSet<u64>),
 }
 
 impl Door {
@@ -30,7 +32,7 @@
             Ok(PostAction::Continue)
         });
         let listening = listening.map_err(|fault| fault.error).context("listener")?;
-        Ok(Door { listener, listening, callers: BTreeMap::new(), last_number: 0 })
+        Ok(Door { listener, listening, callers: BTreeMap::new(), last_number: 0, ids: Default::default() })
     }
 
     pub fn address(&self) -> std::io::Result<SocketAddr> {
@@ -45,6 +47,22 @@
         self.callers.remove(&caller.number.get());
     }
 
+    /// Whether this id, which is to be new with every connection, has not come of late. Guards against one id
+    /// for two: servers answer the second with an error, which would count against their health.
+    pub fn is_new(&mut self, id: u64) -> bool {
+        // More than a proxy has open, and some minutes of clients that come again as soon as they are told off.
+        const REMEMBERED: usize = 4096;
+        let (order, known) = &mut self.ids;
+        if !known.insert(id) {
+            return false;
+        }
+        order.push_back(id);
+        if order.len() > REMEMBERED {
+            known.remove(&order.pop_front().unwrap_or(id));
+        }
+        true
+    }
+
     fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -28,8 +28,6 @@
     /// The door: from the module's names to connections.
     pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
     pub last_id: u64,
-    /// By the clients' own ids.
-    pub ids: BTreeMap<u64, Weak<Circuit>>,
     /// What waits for the list to name the server that held it before the start.
     pub unplaced: Vec<Weak<Circuit>>,
     pub sockets: usize,
@@ -55,7 +53,6 @@
             servers: BTreeMap::new(),
             circuits: BTreeMap::new(),
             last_id: 0,
-            ids: BTreeMap::new(),
             unplaced: Vec::new(),
             sockets: limits.sockets as usize,
             untold: VecDeque::new(),
@@ -93,18 +90,8 @@
         self.spoken_for() + 2 + self.kept_for_callers() > self.sockets
     }
 
-    /// Whether a circuit with this id waits or stands.
-    pub fn has_open(&self, id: u64) -> bool {
-        let holder = self.ids.get(&id).and_then(Weak::upgrade);
-        holder.is_some_and(|circuit| matches!(circuit.stage.get(), Stage::Asking | Stage::Standing))
-    }
-
     pub fn forget(&mut self, circuit: &Circuit) {
         self.circuits.remove(&circuit.id);
-        // Its id may have passed to another once it was leaving.
-        if self.ids.get(&circuit.opening.id).is_some_and(|holder| holder.ptr_eq(&circuit.me)) {
-            self.ids.remove(&circuit.opening.id);
-        }
     }
 
     /// Has a circuit go on after the others had their turn.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -124,7 +124,6 @@
             weak.upgrade().inspect(|circuit| circuit.ready(proxy));
         });
         self.hands.circuits.insert(circuit.id, circuit.clone());
-        self.hands.ids.insert(circuit.opening.id, circuit.me.clone());
         if circuit.is_taken_over() {
             self.hands.take_over(&circuit);
         } else {
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -169,7 +169,7 @@
 }
 
 #[test]
-fn the_id_of_an_open_circuit_is_not_taken_twice_but_serves_again_once_that_has_ended() {
+fn the_id_of_another_circuit_is_refused_while_that_is_open_and_after_it_was_pushed_back() {
     let server = Place::new("s1");
     let program = Program::start(USUAL, &[&server]);
     let line = "OPEN 0123456789abcdef lift-1 c=alarm,d=3000\r\n";
@@ -178,15 +178,12 @@
     let mut at_server = server.accept();
     assert!(at_server.line().starts_with("OPEN"));
     assert!(program.client().is_refused(line.as_bytes()), "it waits");
-    at_server.say("UP 0123\r\n");
-    assert_eq!(client.line(), "UP 0123");
-    assert!(program.client().is_refused(line.as_bytes()), "it stands");
-    drop(client);
-    assert_eq!(at_server.line(), "");
-    let mut again = program.client();
-    again.say(line);
-    server.serve();
-    assert_eq!(again.line(), "UP 0123");
+    at_server.say("BUSY\r\n");
+    assert!(client.line().starts_with("BUSY"), "no other server");
+    assert!(program.client().is_refused(line.as_bytes()), "its client is about to come again");
+    assert!(server.try_accept().is_none());
+    let _sides = program.settles(&server);
+    assert!(program.ends().contains("ids in use 2"));
 }
 
 #[test]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -221,10 +221,8 @@
         let may_try =
             circuit.connects.borrow().len() < self.shelf.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
-        match may_try && (circuit.mid_flow || self.shelf.has_turn()) {
-            true => Step::Pass,
-            false => Step::End,
-        }
+        let turn = (may_try && (circuit.mid_flow || self.shelf.has_turn())).then_some(Step::Pass);
+        turn.unwrap_or(Step::End)
     }
 
     /// Halves the window where a jam may have failed a connect, and widens it by one where a whole one stood.
@@ -377,8 +375,7 @@
         const SAMPLES: usize = 16;
         let server = &connect.server;
         if circuit.stands.get() {
-            server.held.borrow_mut().remove(&circuit.id);
-            return;
+            return drop(server.held.borrow_mut().remove(&circuit.id));
         }
         server.waiting.set(server.waiting.get().saturating_sub(1));
         let word = connect.ending != Some(Ending::TimedOut);
@@ -647,6 +644,7 @@
             returned: arrival.returned,
             stands: Cell::new(false),
             answered: Cell::new(false),
+            errored: Cell::new(false),
             load: Cell::new(0.0),
             connects: RefCell::default(),
         });
@@ -671,8 +669,7 @@
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            let pause = self.jittered(self.most_pause);
-            host.push_back(circuit.id, pause);
+            host.push_back(circuit.id, self.jittered(self.most_pause));
         } else {
             host.forfeit(circuit.id);
         }
@@ -681,7 +678,9 @@
     fn bring_back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
         let mut connects = circuit.connects.borrow_mut();
         let Some(connect) = connects.last_mut() else { return };
-        connect.ending = ending;
+        // Guards against a circuit that no server can use costing all of them their trust: one error counts.
+        let again = ending == Some(Ending::Errored) && circuit.errored.replace(true);
+        connect.ending = if again { Some(Ending::CalledOff) } else { ending };
         for stage in self.stages.iter_mut().rev() {
             stage.back(circuit, connect, now);
         }
--- a/src/record.rs
+++ b/src/record.rs
@@ -48,6 +48,8 @@
     pub(crate) returned: bool,
     pub(crate) stands: Cell<bool>,
     pub(crate) answered: Cell<bool>,
+    /// A server has answered it with an error.
+    pub(crate) errored: Cell<bool>,
     /// Work a second that its connection asks for, once the server has told.
     pub(crate) load: Cell<f64>,
     pub(crate) connects: RefCell<Vec<Connect>>,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -253,6 +253,26 @@
     assert_eq!(proxy.notes.connects.len(), 1);
 }
 
+#[test]
+fn a_circuit_that_no_server_can_use_costs_only_the_first_of_them_trust() {
+    let mut proxy = Proxy::of_twelve();
+    for _ in 0..3 {
+        let bad = proxy.arrives(plain("bad"));
+        for _ in 0..4 {
+            proxy.ends(bad, Ending::Errored);
+        }
+        assert_eq!(proxy.sent_to(bad).len(), 4, "it may still be the servers");
+    }
+    let before = proxy.notes.connects.len();
+    let first = proxy.notes.connects[0].1.clone();
+    for i in 0..100 {
+        proxy.settles(plain(&format!("good-{i}")));
+    }
+    let elsewhere = proxy.notes.connects[before..].iter().filter(|c| c.1 != first).count();
+    assert!(elsewhere >= 100 * 11 / 12 - 5, "the others keep theirs: {elsewhere}");
+    assert!(proxy.notes.pushed_back.len() <= 5, "{:?}", proxy.notes.pushed_back.len());
+}
+
 #[test]
 fn a_jam_behind_all_servers_is_paced_and_nobody_is_held() {
     let mut proxy = Proxy::with(&["a1", "a2", "a3", "b1", "b2", "b3"].map(server));
