A connection from before the start waits no longer than 2.5 s for a server that no list names

Read from the code: OPEN with at= and a made-up server held a circuit and two counted descriptors for 40 s (circuit.rs beat). Once discovery has answered, all servers there are have been named. Also the room kept for probes is that of the servers that can be probed, not of a list of any length (hands.rs spoken_for): a list longer than the limit on descriptors would have had every circuit pushed back.

--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -74,6 +74,17 @@
         self.opening.at.is_some()
     }
 
+    /// Guards against waiting for a server that does not exist: discovery names all there are at once.
+    fn taken_over_within(&self, proxy: &Proxy) -> Span {
+        const NAMED_WITHIN: Span = Span::millis(2500);
+        let unnamed = proxy.hands.list_heard.get() && self.connect.borrow().is_none();
+        if unnamed {
+            NAMED_WITHIN
+        } else {
+            TAKE_OVER_WITHIN
+        }
+    }
+
     pub fn enter(&self, stage: Stage, now: Point) {
         self.stage.set(stage);
         self.since.set(now);
@@ -176,7 +187,7 @@
         let now = proxy.now();
         let past = now.since(self.since.get());
         match self.stage.get() {
-            Stage::Asking if past > TAKE_OVER_WITHIN && self.is_taken_over() => {
+            Stage::Asking if self.is_taken_over() && past > self.taken_over_within(proxy) => {
                 self.answer("ERR", &mut proxy.hands);
             }
             Stage::Leaving if past > LAST_BYTES_WITHIN => self.close(&mut proxy.hands),
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -30,6 +30,8 @@
     pub last_id: u64,
     /// What waits for the list to name the server that held it before the start.
     pub unplaced: Vec<Weak<Circuit>>,
+    /// Discovery has answered since the start.
+    pub list_heard: Cell<bool>,
     pub sockets: usize,
     /// What came of a call while the module was speaking, to be told when it has finished.
     pub untold: VecDeque<(CircuitId, Ending, bool)>,
@@ -54,6 +56,7 @@
             circuits: BTreeMap::new(),
             last_id: 0,
             unplaced: Vec::new(),
+            list_heard: Cell::new(false),
             sockets: limits.sockets as usize,
             untold: VecDeque::new(),
             wants_list: Cell::new(false),
@@ -75,7 +78,9 @@
     fn spoken_for(&self) -> usize {
         // For the listener, discovery, the loop and the log.
         const SPARE: usize = 24;
-        2 * self.circuits.len() + self.servers.len() + SPARE
+        // Only servers that hold a circuit are probed, however long the list.
+        let probes = self.servers.len().min(self.circuits.len() + 1);
+        2 * self.circuits.len() + probes + SPARE
     }
 
     /// How many connections may be held that have sent no first line: what is left, a quarter at most, which
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -182,6 +182,7 @@
     pub fn listed(&mut self, listing: &Listing) {
         let now = self.now();
         log::debug!("list {}: {} lines, whole {}", listing.seq, listing.entries.len(), listing.whole);
+        self.hands.list_heard.set(true);
         self.hands.follow(listing);
         self.chooser.listed(&listing.lines(), listing.whole, now);
         self.hands.take_over_waiting();
