--- a/src/choice.rs
+++ b/src/choice.rs
@@ -269,8 +269,7 @@
 
 impl Placement {
     fn choose(&self, circuit: &Circuit, now: Point) -> Option<Rc<Server>> {
-        // The design page's figures: over twice the mean, and at least three more than it. Guards also against
-        // connects piling up at a slow server: those under way have a mean of their own.
+        // The design page's figures; of those under way too, against connects that pile up at a slow server.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
         let servers = self.shelf.servers.borrow();
@@ -311,7 +310,9 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // or the fleet strained, meets its group at the servers that rank first for it at every proxy.
         let by = by_group.unwrap_or(circuit.key);
-        let mut ranked: Vec<_> = servers.iter().filter(usable).map(|s| (s.rank(by), s)).collect();
+        // Who is distrusted and holds nothing is gone, not strained, and takes nobody's place in the ranks.
+        let there = |s: &&Rc<Server>| usable(s) && (s.open() > 0.0 || trusted(s));
+        let mut ranked: Vec<_> = servers.iter().filter(there).map(|s| (s.rank(by), s)).collect();
         ranked.sort_unstable_by_key(|r| r.0);
         let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()));
         ranked[..width].sort_unstable_by_key(|r| r.1.rank(circuit.key));
@@ -606,7 +607,7 @@
         self.circuits.get(&circuit).inspect(|c| c.answered.set(true));
     }
 
-    /// This proxy ends, and this is called so many times till then. Guards against a crowd of all its clients.
+    /// This proxy ends, and this is called so often till then. Guards against a crowd of all its clients.
     pub fn ends(&mut self, calls_left: usize, host: &mut dyn Host) {
         let staying = || self.circuits.values().filter(|c| c.stands.get() && !c.answered.get());
         for circuit in staying().take(staying().count().div_ceil(calls_left.max(1))) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -303,6 +303,27 @@
     assert!(servers.len() >= 4, "{servers:?}");
 }
 
+#[test]
+fn servers_gone_but_still_listed_do_not_take_the_places_of_those_that_are_there() {
+    let mut proxy = Proxy::with(&["a1", "a2", "b1", "b2", "b3"].map(server));
+    let gone = ["a1", "a2", "b1"];
+    for i in 0..200 {
+        let key = format!("back-{i}");
+        let group = format!("group-{}", i % 10);
+        let circuit = proxy.arrives(Arrival { group: Some(&group), returned: true, ..plain(&key) });
+        while proxy.sent_to(circuit).last().is_some_and(|place| gone.contains(&place.as_str())) {
+            let tried = proxy.sent_to(circuit).len();
+            proxy.ends(circuit, Ending::Unreachable);
+            if proxy.sent_to(circuit).len() == tried {
+                break;
+            }
+        }
+        proxy.chooser.stands(CircuitId(circuit), proxy.now);
+        proxy.passes(20);
+    }
+    assert_eq!(proxy.notes.pushed_back.len(), 0, "two are sound");
+}
+
 #[test]
 fn a_jam_behind_all_servers_is_paced_and_nobody_is_held() {
     let mut proxy = Proxy::with(&["a1", "a2", "a3", "b1", "b2", "b3"].map(server));
