--- a/src/choice.rs
+++ b/src/choice.rs
@@ -310,8 +310,8 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // or the fleet strained, meets its group at the servers that rank first for it at every proxy.
         let by = by_group.unwrap_or(circuit.key);
-        // Who is distrusted and holds nothing is gone, not strained, and takes nobody's place in the ranks.
-        let there = |s: &&Rc<Server>| usable(s) && (s.open() > 0.0 || trusted(s));
+        // Who refused the last connect is gone, though still listed, and takes nobody's place in the ranks.
+        let there = |s: &&Rc<Server>| usable(s) && (!s.refuses.get() || trusted(s));
         let mut ranked: Vec<_> = servers.iter().filter(there).map(|s| (s.rank(by), s)).collect();
         ranked.sort_unstable_by_key(|r| r.0);
         let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()));
@@ -331,6 +331,7 @@
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
+        connect.server.refuses.set(connect.ending == Some(Ending::Unreachable));
         // One bad ending takes half of the trust that is left, one that the server itself gave rather less.
         let keeps = match connect.ending {
             // Guards against distrusting whoever rightly resets a mid-flow connection that another holds.
@@ -378,8 +379,7 @@
             return drop(server.held.borrow_mut().remove(&circuit.id));
         }
         server.waiting.set(server.waiting.get().saturating_sub(1));
-        let word = connect.ending != Some(Ending::TimedOut);
-        if word || server.waiting.get() == 0 {
+        if connect.ending != Some(Ending::TimedOut) || server.waiting.get() == 0 {
             server.silent_since.set((server.waiting.get() > 0).then_some(now));
         }
         if connect.ending.is_none() {
