--- a/src/choice.rs
+++ b/src/choice.rs
@@ -310,8 +310,8 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // or the fleet strained, meets its group at the servers that rank first for it at every proxy.
         let by = by_group.unwrap_or(circuit.key);
-        // Who refused the last connect is gone, though still listed, and takes nobody's place in the ranks.
-        let there = |s: &&Rc<Server>| usable(s) && (!s.refuses.get() || trusted(s));
+        // Who broke off or refused, and holds nothing, is gone though still listed: it takes nobody's place.
+        let there = |s: &&Rc<Server>| usable(s) && (!s.broke.get() || s.open() > 0.0 || trusted(s));
         let mut ranked: Vec<_> = servers.iter().filter(there).map(|s| (s.rank(by), s)).collect();
         ranked.sort_unstable_by_key(|r| r.0);
         let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()));
@@ -331,7 +331,7 @@
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
-        connect.server.refuses.set(connect.ending == Some(Ending::Unreachable));
+        connect.server.broke.set(matches!(connect.ending, Some(Ending::Unreachable | Ending::Broken)));
         // One bad ending takes half of the trust that is left, one that the server itself gave rather less.
         let keeps = match connect.ending {
             // Guards against distrusting whoever rightly resets a mid-flow connection that another holds.
--- a/src/record.rs
+++ b/src/record.rs
@@ -20,8 +20,8 @@
     /// Connects that wait for a word from the server, and since when it has sent none.
     pub(crate) waiting: Cell<u32>,
     pub(crate) silent_since: Cell<Option<Point>>,
-    /// It refused this proxy's last connect.
-    pub(crate) refuses: Cell<bool>,
+    /// The last that was heard of it is that it broke off a connection or refused one.
+    pub(crate) broke: Cell<bool>,
     /// The score of distrust as it was at a moment.
     pub(crate) distrust: Cell<(f64, Point)>,
     /// What is left of a cold server's budget, in connects, as it was at a moment.
