--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -161,6 +161,7 @@
 
 impl Host for Hands {
     fn connect(&mut self, circuit: CircuitId, server: &ServerId, time_out: Span) {
+        log::debug!("circuit {} connects to {server}, for {} ms", circuit.0, time_out.as_ms());
         let (found, server) = (self.circuits.get(&circuit).cloned(), self.servers.get(server).cloned());
         self.tally
             .must(found.is_some() && server.is_some(), "a connect is for a circuit and a server that are");
@@ -186,6 +187,7 @@
 
     fn push_back(&mut self, circuit: CircuitId, pause: Span) {
         self.tally.count("pushed back");
+        log::debug!("circuit {} pushed back for {} ms", circuit.0, pause.as_ms());
         if let Some(circuit) = self.circuits.get(&circuit).cloned() {
             circuit.answer(&busy(pause), self);
         }
@@ -193,6 +195,7 @@
 
     fn forfeit(&mut self, circuit: CircuitId) {
         self.tally.count("forfeited");
+        log::debug!("circuit {} forfeited", circuit.0);
         if let Some(circuit) = self.circuits.get(&circuit).cloned() {
             circuit.answer("ERR", self);
         }
@@ -200,6 +203,7 @@
 
     fn send_away(&mut self, circuit: CircuitId) {
         self.tally.count("sent away");
+        log::debug!("circuit {} sent away", circuit.0);
         let now = self.clock.now();
         let Some(circuit) = self.circuits.get(&circuit).filter(|c| c.stage.get() == Stage::Standing) else {
             return;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -145,12 +145,14 @@
             self.chooser.open_already(&arrival(circuit, now), server, now);
         } else {
             self.hands.tally.count("connections up");
+            log::debug!("circuit {} stands at {server}", circuit.id.0);
             self.chooser.stands(circuit.id, now);
         }
     }
 
     /// A connect, or a standing connection, has ended; `done` where the client's side has its end by that.
     pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool) {
+        log::debug!("circuit {} ended: {ending:?}, done {done}", circuit.0);
         let now = self.now();
         self.chooser.ended(circuit, ending, done, now, &mut self.hands);
         self.settle();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,6 +76,8 @@
     gaps: RefCell<VecDeque<Span>>,
     /// The keys and groups of the last clients that came, each once however often it comes.
     groups: RefCell<VecDeque<(u64, u64)>>,
+    /// When the last circuits came that no server held yet.
+    arrivals: RefCell<VecDeque<Point>>,
     /// How many connects may be out.
     window: Cell<f64>,
     most_connects: usize,
@@ -86,6 +88,17 @@
     // More than a proxy has out in a calm minute, few enough that four halvings reach one.
     const WIDEST: f64 = 16.0;
 
+    // As long as it takes a crowd of clients to come back.
+    const JUST_BEFORE: Span = Span::millis(2000);
+
+    /// How many circuits came just before the last one.
+    fn others(&self, now: Point) -> f64 {
+        let mut arrivals = self.arrivals.borrow_mut();
+        let past = arrivals.partition_point(|at| now.since(*at) > Self::JUST_BEFORE);
+        arrivals.drain(..past);
+        arrivals.len().saturating_sub(1) as f64
+    }
+
     fn has_turn(&self) -> bool {
         let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
         f64::from(out) < self.window.get()
@@ -110,8 +123,6 @@
             if line.started > server.started.get() {
                 server.started.set(line.started);
                 server.distrust.set((0.0, now));
-                let mut part = WyRand::new_seed(self.seed ^ server.hash);
-                server.budget.set((f64::from(part.generate::<f32>()), now));
             }
             server.standing.set(line.standing);
         }
@@ -241,23 +252,20 @@
 }
 
 impl WarmUp {
-    /// Guards against pushing a cold server over. What a warm server holds of this proxy's connections stands
-    /// for its share of what a server can hold, so that proxies need not agree.
-    fn admits(&self, server: &Server, warm_holds: f64, now: Point) -> bool {
+    /// The share of circuits that a server may have. Guards against pushing a cold one over, without counting
+    /// on what one proxy of many sees of it: the circuits that came here just before another one are, on the
+    /// mean, this proxy's part of what comes to all, and the connections open here its part of what fills all.
+    fn share(&self, server: &Server, open: f64, others: f64, now: Point) -> f64 {
         let age = server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span));
-        if age >= 1.0 {
-            return true;
+        if age >= 1.0 || others == 0.0 {
+            return 1.0;
         }
-        // A cold server can take what fills it over its warm-up.
-        let usual = warm_holds / self.cold_span.as_ms();
         // Half of the bound is left for chance.
         const USED: f64 = 0.5;
         let present = self.cold_from + (1.0 - self.cold_from) * age;
-        let (left, at) = server.budget.get();
-        let now_left = left + now.since(at).as_ms() * usual * USED * self.fall_multiple * present;
-        // Never saves up for more than one connect.
-        server.budget.set((now_left.min(1.0), now));
-        now_left >= 1.0
+        // A cold server can take what fills it over its warm-up; the circuit itself is open, too.
+        let filling = (open + 1.0) * Shelf::JUST_BEFORE.over(self.cold_span);
+        filling * USED * self.fall_multiple * present / others
     }
 }
 
@@ -278,17 +286,19 @@
         let means = counts.map(|of| active().map(|s| of(s)).sum::<f64>() / active().count() as f64);
         let over = |count: f64, mean: f64| count > SKIP_FACTOR * mean && count >= mean + SKIP_MARGIN;
         let overfull = |s: &Server| (0..2).any(|i| over(counts[i](s), means[i]));
-        let usable = |s: &&Rc<Server>| {
-            s.standing.get() == Standing::Active
-                && circuit.may_go_to(s, now)
-                && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
-                && self.warm_up.admits(s, means[0], now)
-        };
         // Guards against retries asking until they are let in: one draw for the whole order, and the same one
         // for all that a client tries within a draw's life, which outlasts a client's own quick retries.
         const DRAW_LIFE: Span = Span::millis(2000);
         let seed = self.shelf.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
+        let open = servers.iter().map(|s| s.open()).sum();
+        let others = self.shelf.others(now);
+        let usable = |s: &&Rc<Server>| {
+            s.standing.get() == Standing::Active
+                && circuit.may_go_to(s, now)
+                && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
+                && draw < self.warm_up.share(s, open, others, now)
+        };
         // While it is unusually silent a server has no trust at all.
         let unusual = self.shelf.unusual_after();
         let silent = |s: &Server| s.silent_since.get().zip(unusual).is_some_and(|(at, u)| now.since(at) > u);
@@ -363,8 +373,6 @@
             None => half,
         };
         host.connect(circuit.id, &server.id, time_out);
-        let (budget, at) = server.budget.get();
-        server.budget.set((budget - 1.0, at));
         server.waiting.set(server.waiting.get() + 1);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
@@ -522,7 +530,12 @@
     }
 
     pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
+        // Far more than come just before another one where a proxy still keeps up.
+        const SAMPLES: usize = 4096;
         let circuit = self.enter(arrival);
+        if !circuit.mid_flow {
+            keep_last(SAMPLES, now, &mut self.shelf.arrivals.borrow_mut());
+        }
         self.offer(&circuit, now, host);
     }
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -24,8 +24,6 @@
     pub(crate) broke: Cell<bool>,
     /// The score of distrust as it was at a moment.
     pub(crate) distrust: Cell<(f64, Point)>,
-    /// What is left of a cold server's budget, in connects, as it was at a moment.
-    pub(crate) budget: Cell<(f64, Point)>,
     /// When it was last probed, and how long its last answers took.
     pub(crate) probed: Cell<Point>,
     pub(crate) answers: RefCell<VecDeque<Span>>,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -472,6 +472,30 @@
     assert!(sent.iter().all(|n| (6..=36).contains(n)), "{sent:?}");
 }
 
+#[test]
+fn of_a_hundred_proxies_that_see_next_to_nothing_a_cold_server_gets_its_part() {
+    // Every proxy holds one connection when a server comes back cold, and then sees so many clients at once.
+    let sent = |clients: u64| {
+        let of_one = |seed: u64| {
+            let mut proxy = Proxy::seeded(seed, &TWELVE.map(server));
+            proxy.settles(plain(&format!("early-{seed}")));
+            proxy.passes(5000);
+            proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a7") }], false, proxy.now);
+            for i in 0..clients {
+                proxy.arrives(plain(&format!("back-{seed}-{i}")));
+            }
+            proxy.shares().get("a7").copied().unwrap_or(0)
+        };
+        (0..100).map(of_one).sum::<usize>()
+    };
+    // One each is little: all that come by the hash are let in, where a budget saved up alone let in none.
+    let calm = sent(1);
+    assert!((4..=14).contains(&calm), "{calm}");
+    // Five each are a storm: a thirteenth would be 38.
+    let storm = sent(5);
+    assert!((4..=25).contains(&storm), "{storm}");
+}
+
 #[test]
 fn connections_open_at_the_start_count_and_are_known_mid_flow() {
     let mut proxy = Proxy::of_four();
