--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -23,6 +23,7 @@
     pub tally: Rc<Tally>,
     pub dial_time_out: Option<Span>,
     pub may_probe: bool,
+    pub tells_delay: bool,
     pub clock: Clock,
     pub servers: BTreeMap<ServerId, Rc<Server>>,
     /// The door: from the module's names to connections.
@@ -44,13 +45,14 @@
         handle: LoopHandle<'static, Proxy>,
         limits: Limits,
         dials: Option<Span>,
-        probes: bool,
+        (probes, tells_delay): (bool, bool),
     ) -> Self {
         Hands {
             handle,
             tally: Rc::default(),
             dial_time_out: dials,
             may_probe: probes,
+            tells_delay,
             clock: Clock::start(),
             servers: BTreeMap::new(),
             circuits: BTreeMap::new(),
@@ -125,6 +127,7 @@
                     standing: Cell::new(line.standing),
                     dial: Cell::new(entry.dial?),
                     pulse: Default::default(),
+                    notes: Default::default(),
                     probe: Default::default(),
                 };
                 Some(Rc::new(server))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod hands;
 mod line;
 mod listing;
+mod notes;
 mod probe;
 pub mod proxy;
 mod pulse;
--- /dev/null
+++ b/crates/proxy/src/notes.rs
@@ -0,0 +1,68 @@
+//! Telling a server's two kinds of notes apart, which it writes in the same words: `LOAD` and a number.
+//!
+//! One is the load of the connection that it comes on, in microseconds of work a second, and comes when that
+//! changes. The other is how many milliseconds a message takes at the server now, and comes once a second
+//! while that is long, on one connection of each proxy.
+
+use shelfgrade::time::{Point, Span};
+use std::cell::Cell;
+
+#[derive(Default)]
+pub struct Notes {
+    /// When the last note came that may have told of messages.
+    last: Cell<Option<Point>>,
+}
+
+impl Notes {
+    /// Whether a note that comes now tells how long messages take.
+    pub fn is_delay(&self, told: f64, now: Point) -> bool {
+        // Of 1,300 loads seen none was less: a client that asks for so little is as good as gone.
+        const LEAST_LOAD: f64 = 300.0;
+        // No message is waited for so long.
+        const LONGEST_MS: f64 = 10_000.0;
+        // What is between the two is a delay where it keeps the beat of the notes before it.
+        const BEAT_MS: f64 = 1000.0;
+        const OFF_BEAT_MS: f64 = 40.0;
+        // A pause of more beats than these proves little.
+        const LONGEST_PAUSE: Span = Span::millis(5500);
+        if told >= LONGEST_MS {
+            return false;
+        }
+        let past = self.last.get().map(|at| now.since(at)).filter(|past| *past < LONGEST_PAUSE);
+        let on_beat = past.is_some_and(|past| {
+            let beats = (past.as_ms() / BEAT_MS).round();
+            beats >= 1.0 && (past.as_ms() - beats * BEAT_MS).abs() < OFF_BEAT_MS
+        });
+        let delay = told < LEAST_LOAD || on_beat;
+        if delay || past.is_none() {
+            self.last.set(Some(now));
+        }
+        delay
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(notes: &Notes, values: &[(u64, f64)]) -> Vec<bool> {
+        let start = Point::from_ms(60_000.0);
+        values.iter().map(|(ms, value)| notes.is_delay(*value, start + Span::millis(*ms))).collect()
+    }
+
+    #[test]
+    fn a_server_that_falls_behind_is_heard_among_the_loads_of_its_connections() {
+        let notes = Notes::default();
+        let values =
+            [(0, 182_521.0), (300, 2190.7), (450, 25.3), (900, 641.0), (1450, 420.9), (2451, 1125.3)];
+        assert_eq!(told(&notes, &values), [false, false, true, false, true, true]);
+        // Two beats later one may have been missed; a load between them is none.
+        assert_eq!(told(&notes, &[(3900, 3893.3), (4452, 1927.0), (9900, 1588.9)]), [false, true, false]);
+    }
+
+    #[test]
+    fn a_delay_that_begins_long_is_known_by_the_next_one() {
+        let notes = Notes::default();
+        assert_eq!(told(&notes, &[(0, 812.0), (1001, 1248.0), (2000, 3.1)]), [false, true, true]);
+    }
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -62,7 +62,8 @@
     beat.map_err(|fault| fault.error).context("timer")?;
 
     let seq = Some(start.known.seq).filter(|_| !start.known.entries.is_empty());
-    let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, start.terms.may_probe);
+    let signs = (start.terms.may_probe, start.terms.tells_delay);
+    let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, signs);
     let now = hands.clock.now();
     let tally = hands.tally.clone();
     let mut proxy = Proxy {
@@ -173,6 +174,13 @@
         self.settle();
     }
 
+    /// A server has told how long messages take there.
+    pub fn messages_take(&mut self, circuit: CircuitId, took: Span) {
+        let now = self.now();
+        self.chooser.messages_take(circuit, took, now, &mut self.hands);
+        self.settle();
+    }
+
     /// Carries out a move that waited for the end of a line.
     pub fn move_now(&mut self, circuit: &Circuit) {
         let now = self.now();
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -4,6 +4,7 @@
 use crate::clock::duration;
 use crate::hands::Hands;
 use crate::line::{text, Cutter};
+use crate::notes::Notes;
 use crate::probe::Probe;
 use crate::proxy::Proxy;
 use crate::pulse::Pulse;
@@ -18,12 +19,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Work a second that no connection asks for: all of a thousand cores.
+const MOST_LOAD: f64 = 1e9;
+
 /// A server of the list, as far as carrying out needs it.
 pub struct Server {
     pub id: ServerId,
     pub standing: Cell<Standing>,
     pub dial: Cell<SocketAddr>,
     pub pulse: Pulse,
+    pub notes: Notes,
     pub probe: RefCell<Option<Rc<Probe>>>,
 }
 
@@ -249,14 +254,26 @@
         let asked = self.asked.take();
         match (word, asked) {
             ("LOAD", _) => {
-                let load = rest.parse().ok().filter(|load: &f64| load.is_finite());
-                load.into_iter().for_each(|load| proxy.chooser.load_is(self.id, load));
+                let told = rest.parse().ok().filter(|told: &f64| (0.0..MOST_LOAD).contains(told));
+                told.into_iter().for_each(|told| self.server_tells(&connect.server, told, proxy));
             }
             ("BYE" | "MOVE", _) | (_, None) => {}
             (_, Some(asked)) => connect.server.pulse.came_back(self, proxy.now().since(asked)),
         }
     }
 
+    /// Servers write two kinds of notes in the same words: a connection's load, in microseconds of work a
+    /// second, and how long messages take there now, in milliseconds.
+    fn server_tells(&self, server: &Server, told: f64, proxy: &mut Proxy) {
+        let now = proxy.now();
+        if proxy.hands.tells_delay && server.notes.is_delay(told, now) {
+            log::debug!("messages at {} take {told} ms, it says", server.id);
+            proxy.messages_take(self.id, Span::from_ms(told));
+        } else {
+            proxy.chooser.load_is(self.id, told);
+        }
+    }
+
     /// A connect has ended without a connection; the module says how it goes on.
     pub fn connect_ended(&self, connect: &Connect, ending: Ending, proxy: &mut Proxy) {
         log::debug!("circuit {} at {}: {ending:?}", self.id.0, connect.server.id);
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -290,6 +290,21 @@
     assert_eq!(client.line(), "MOVE");
 }
 
+#[test]
+fn a_servers_note_that_messages_take_long_has_a_guest_told_to_move_and_nothing_is_probed() {
+    let server = Place::new("s1");
+    let program = Program::start(Terms { probes: true, tells_delay: true, ..USUAL }, &[&server]);
+    let (mut client, mut at_server) = program.settles(&server);
+    at_server.say("LOAD 61234.5\r\n");
+    assert_eq!(client.line(), "LOAD 61234.5");
+    assert!(client.is_quiet(), "a connection's load, and no cause to move");
+    // Past the time in which a probe would have come.
+    std::thread::sleep(Duration::from_millis(300));
+    at_server.say("LOAD 212.25\r\n");
+    assert_eq!((client.line(), client.line()), ("LOAD 212.25".into(), "MOVE".into()));
+    assert!(server.try_accept().is_none());
+}
+
 #[test]
 fn the_next_watch_follows_at_once_and_a_split_answer_is_put_together() {
     let server = Place::new("s1");
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -78,6 +78,8 @@
 struct Extra {
     #[serde(default)]
     message_aim_ms: Vec<f64>,
+    #[serde(default)]
+    tells_delay: bool,
 }
 
 /// A proxy's terms, read.
@@ -87,7 +89,9 @@
     pub offerings: Vec<String>,
     /// A connection that is not established within this has failed; none where the terms leave it open.
     pub dial_time_out: Option<Span>,
-    /// Probes are allowed.
+    /// Servers tell by themselves how long messages take.
+    pub tells_delay: bool,
+    /// Probes are allowed, and of use: nobody tells how long messages take.
     pub may_probe: bool,
 }
 
@@ -131,6 +135,7 @@
         chooser,
         offerings: offerings.into_iter().map(|o| o.name).collect(),
         dial_time_out: Some(bounds.dial_timeout_ms).filter(|ms| *ms > 0.0).map(Span::from_ms),
-        may_probe: bounds.probes,
+        tells_delay: extra.tells_delay,
+        may_probe: bounds.probes && !extra.tells_delay,
     })
 }
