--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -6,9 +6,31 @@
 use shelfgrade::choice::{Chooser, WarmUp};
 use shelfgrade::host::{Circle, Effect, Offering};
 use shelfgrade::time::Span;
+use std::num::NonZeroUsize;
+
+// So many proxies are taken to share the servers where the settings do not tell: cautious, as what each does
+// by itself is then small, and more than any fleet so far.
+const MANY: usize = 100;
+
+/// A figure that is no less than nothing. Guards against settings that would make a time or a share of none.
+#[derive(Deserialize, Default, Clone, Copy)]
+#[serde(try_from = "f64")]
+struct Amount(f64);
+
+impl TryFrom<f64> for Amount {
+    type Error = String;
+    fn try_from(given: f64) -> Result<Self, String> {
+        if given.is_finite() && given >= 0.0 {
+            Ok(Amount(given))
+        } else {
+            Err(format!("{given} where a figure from 0 up is wanted"))
+        }
+    }
+}
 
 #[derive(Deserialize)]
 struct Env {
+    balancers: Option<NonZeroUsize>,
     discovery: Discovery,
     offerings: Vec<Class>,
     bounds: Bounds,
@@ -31,7 +53,7 @@
     #[serde(default)]
     group: Group,
     #[serde(default)]
-    window_ms: f64,
+    window_ms: Amount,
 }
 
 #[derive(Deserialize)]
@@ -56,28 +78,28 @@
 struct Bounds {
     most_connects: usize,
     #[serde(default)]
-    max_retry_after_ms: f64,
+    max_retry_after_ms: Amount,
     #[serde(default)]
     probes: bool,
     #[serde(default)]
-    dial_timeout_ms: f64,
+    dial_timeout_ms: Amount,
 }
 
 #[derive(Deserialize)]
 struct Invariants {
     #[serde(default)]
-    cold_from: f64,
+    cold_from: Amount,
     #[serde(default)]
-    cold_ms: f64,
-    overload_factor: f64,
+    cold_ms: Amount,
+    overload_factor: Amount,
     #[serde(default)]
-    must_ask_in_ms: f64,
+    must_ask_in_ms: Amount,
 }
 
 #[derive(Deserialize, Default)]
 struct Extra {
     #[serde(default)]
-    message_aim_ms: Vec<f64>,
+    message_aim_ms: Vec<Amount>,
     #[serde(default)]
     tells_delay: bool,
 }
@@ -100,13 +122,13 @@
     let env: Env = serde_json::from_str(text)?;
     let Env { offerings, invariants, bounds, extra, .. } = env;
     let warm_up = WarmUp {
-        cold_from: invariants.cold_from,
-        cold_span: Span::from_ms(invariants.cold_ms),
-        fall_multiple: invariants.overload_factor,
+        cold_from: invariants.cold_from.0,
+        cold_span: Span::from_ms(invariants.cold_ms.0),
+        fall_multiple: invariants.overload_factor.0,
     };
     let must_ask_in = match env.discovery {
         Discovery::Automatic => None,
-        Discovery::Subscribe => Some(Span::from_ms(invariants.must_ask_in_ms)),
+        Discovery::Subscribe => Some(Span::from_ms(invariants.must_ask_in_ms.0)),
     };
     let known = offerings.iter().enumerate().map(|(i, class)| Offering {
         effect: match class.idempotency {
@@ -118,24 +140,85 @@
                     Group::Zone => Circle::Zone,
                     Group::Cell => Circle::Cell,
                 },
-                window: Span::from_ms(class.window_ms),
+                window: Span::from_ms(class.window_ms.0),
             },
         },
-        message_limit: extra.message_aim_ms.get(i).copied().map(Span::from_ms),
+        message_limit: extra.message_aim_ms.get(i).map(|limit| Span::from_ms(limit.0)),
     });
     let chooser = Chooser::new(
         seed,
         known.collect(),
         bounds.most_connects,
-        Span::from_ms(bounds.max_retry_after_ms),
+        Span::from_ms(bounds.max_retry_after_ms.0),
         must_ask_in,
+        env.balancers.map_or(MANY, NonZeroUsize::get),
         warm_up,
     );
     Ok(Terms {
         chooser,
         offerings: offerings.into_iter().map(|o| o.name).collect(),
-        dial_time_out: Some(bounds.dial_timeout_ms).filter(|ms| *ms > 0.0).map(Span::from_ms),
+        dial_time_out: Some(bounds.dial_timeout_ms.0).filter(|ms| *ms > 0.0).map(Span::from_ms),
         tells_delay: extra.tells_delay,
         may_probe: bounds.probes && !extra.tells_delay,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use shelfgrade::host::{CircuitId, Host, ServerId};
+    use shelfgrade::time::Point;
+
+    fn settings(balancers: &str, cold_ms: &str) -> Result<Terms> {
+        let text = format!(
+            r#"{{{balancers}"discovery":"subscribe","offerings":[],"bounds":{{"most_connects":3}},
+            "invariants":{{"overload_factor":4,"cold_ms":{cold_ms},"must_ask_in_ms":10000}}}}"#
+        );
+        parse(7, &text)
+    }
+
+    fn refused(balancers: &str, cold_ms: &str) -> String {
+        settings(balancers, cold_ms).err().expect("refused").to_string()
+    }
+
+    #[test]
+    fn nonsense_is_refused_in_one_line_that_names_it() {
+        assert!(settings(r#""balancers":3,"#, "8600").is_ok());
+        assert!(refused(r#""balancers":0,"#, "8600").contains("nonzero"));
+        assert!(refused(r#""balancers":-4,"#, "8600").contains("-4"));
+        assert!(refused(r#""balancers":"many","#, "8600").contains("many"));
+        assert!(refused("", "-1").contains("-1 where a figure from 0 up is wanted"));
+        assert!(refused("", "1e999").lines().count() == 1);
+    }
+
+    #[test]
+    fn settings_that_do_not_tell_of_proxies_probes_or_notes_are_taken_cautiously() {
+        let terms = settings("", "8600").expect("enough to begin with");
+        assert!(!terms.may_probe && !terms.tells_delay);
+        // A first call for the list is as late as in a large fleet: some of thirty wait over two seconds.
+        let late = |seed: u64| {
+            let mut host = Alarms::default();
+            let text = r#"{"discovery":"subscribe","offerings":[],"bounds":{"most_connects":3},
+                "invariants":{"overload_factor":4,"must_ask_in_ms":10000}}"#;
+            let now = Point::from_ms(1000.0);
+            parse(seed, text).expect("terms").chooser.start(&[], now, &mut host);
+            host.0[0].since(now) > Span::millis(2000)
+        };
+        assert!((0..30).any(late));
+    }
+
+    #[derive(Default)]
+    struct Alarms(Vec<Point>);
+
+    impl Host for Alarms {
+        fn connect(&mut self, _: CircuitId, _: &ServerId, _: Span) {}
+        fn push_back(&mut self, _: CircuitId, _: Span) {}
+        fn forfeit(&mut self, _: CircuitId) {}
+        fn send_away(&mut self, _: CircuitId) {}
+        fn subscribe(&mut self) {}
+        fn probe(&mut self, _: &ServerId) {}
+        fn wake(&mut self, at: Point) {
+            self.0.push(at);
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,6 @@
 }
 
 /// The id-sorted list and what was seen over all its servers, shared by the stages.
-#[derive(Default)]
 struct Shelf {
     servers: RefCell<Vec<Rc<Server>>>,
     /// The last few times that a connect took to stand, at any server: of one alone a proxy sees too few.
@@ -82,12 +81,10 @@
     window: Cell<f64>,
     most_connects: usize,
     seed: u64,
+    chance: RefCell<WyRand>,
 }
 
 impl Shelf {
-    // More than a proxy has out in a calm minute, few enough that four halvings reach one.
-    const WIDEST: f64 = 16.0;
-
     // As long as it takes a crowd of clients to come back.
     const JUST_BEFORE: Span = Span::millis(2000);
 
@@ -99,9 +96,15 @@
         arrivals.len().saturating_sub(1) as f64
     }
 
+    /// Whether one more connect may go out; a part of one is a chance of that size.
     fn has_turn(&self) -> bool {
         let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
-        f64::from(out) < self.window.get()
+        f64::from(out) + self.luck() < self.window.get()
+    }
+
+    /// From 0 to 1, any as likely as the next.
+    fn luck(&self) -> f64 {
+        f64::from(self.chance.borrow_mut().generate::<f32>())
     }
 
     fn find(&self, id: &str) -> Option<Rc<Server>> {
@@ -221,6 +224,23 @@
 /// Second stage: keeps to as many connects at once as something that all servers share can bear.
 struct Pacing {
     shelf: Rc<Shelf>,
+    widest: f64,
+    narrowest: f64,
+}
+
+impl Pacing {
+    /// Guards against a window that never closes where many proxies have one connect out each: its bounds are
+    /// this proxy's part of what the fleet may have out.
+    fn new(shelf: Rc<Shelf>, proxies: f64) -> Self {
+        // Of all three proxies of a small fleet: more than are out in a calm minute, and four halvings less.
+        const WIDEST: f64 = 48.0;
+        const NARROWEST: f64 = 3.0;
+        // Two clients that come together are no jam.
+        const LEAST: f64 = 2.0;
+        let widest = (WIDEST / proxies).max(LEAST);
+        shelf.window.set(widest);
+        Pacing { shelf, widest, narrowest: (NARROWEST / proxies).min(1.0) }
+    }
 }
 
 impl Stage for Pacing {
@@ -232,13 +252,14 @@
         turn.unwrap_or(Step::End)
     }
 
-    /// Halves the window where a jam may have failed a connect, and widens it by one where a whole one stood.
+    /// Halves the window where a jam may have failed a connect, and widens it by one where a whole one stood,
+    /// or by as much again where it is a part of one.
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
         let window = self.shelf.window.get();
         self.shelf.window.set(match connect.ending {
             _ if circuit.stands.get() || circuit.mid_flow => window,
-            None => (window + 1.0 / window).min(Shelf::WIDEST),
-            Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(1.0),
+            None => (window + window.min(1.0 / window)).min(self.widest),
+            Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(self.narrowest),
             _ => window,
         });
     }
@@ -254,7 +275,7 @@
 impl WarmUp {
     /// The share of circuits that a server may have. Guards against pushing a cold one over, without counting
     /// on what one proxy of many sees of it: the circuits that came here just before another one are, on the
-    /// mean, this proxy's part of what comes to all, and the connections open here its part of what fills all.
+    /// mean, its part of what comes to all, and the connections open here its part of what fills them.
     fn share(&self, server: &Server, open: f64, others: f64, now: Point) -> f64 {
         let age = server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span));
         if age >= 1.0 || others == 0.0 {
@@ -412,13 +433,14 @@
     message_limit: Option<Span>,
     most_pause: Span,
     shelf: Rc<Shelf>,
+    /// How many proxies there are beside this one and with it.
+    proxies: f64,
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     asks_at: Option<Point>,
     list_failures: u32,
     /// Where messages tell nothing of a server's strain: when to look round next.
     looks_at: Option<Point>,
-    chance: WyRand,
     stages: [Box<dyn Stage>; 4],
     /// The door: every circuit unanswered, standing or with a connect still out.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
@@ -426,32 +448,43 @@
 
 impl Chooser {
     /// `most_pause`: the longest wait a client keeps to. `must_ask_in`: none where the list comes unasked.
+    /// `proxies`: how many share the servers, with this one.
     pub fn new(
         seed: u64,
         offerings: Vec<Offering>,
         most_connects: usize,
         most_pause: Span,
         must_ask_in: Option<Span>,
+        proxies: usize,
         warm_up: WarmUp,
     ) -> Self {
-        let shelf =
-            Rc::new(Shelf { seed, most_connects, window: Cell::new(Shelf::WIDEST), ..Shelf::default() });
+        let chance = RefCell::new(WyRand::new_seed(seed));
+        let shelf = Rc::new(Shelf {
+            servers: RefCell::default(),
+            gaps: RefCell::default(),
+            groups: RefCell::default(),
+            arrivals: RefCell::default(),
+            window: Cell::default(),
+            most_connects,
+            seed,
+            chance,
+        });
         Chooser {
             message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
             offerings,
             most_pause,
             must_ask_in,
+            proxies: proxies as f64,
             asks_at: None,
             list_failures: 0,
             looks_at: None,
             stages: [
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
-                Box::new(Pacing { shelf: shelf.clone() }),
+                Box::new(Pacing::new(shelf.clone(), proxies as f64)),
                 Box::new(Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(Dispatch { shelf: shelf.clone() }),
             ],
             shelf,
-            chance: WyRand::new_seed(seed),
             circuits: BTreeMap::new(),
         }
     }
@@ -601,6 +634,12 @@
     /// Guards against a strained server keeping its share: sends away its heaviest guest, which is one that
     /// stands outside its group's servers; where work has `piled_up`, anyone if there is no guest.
     fn relieve(&self, server: &Rc<Server>, piled_up: bool, host: &mut dyn Host) {
+        // Guards against all proxies sending their only one away at once: a third goes at once, from
+        // each proxy one at most.
+        const SHARE: f64 = 0.35;
+        if self.shelf.luck() >= SHARE * server.held.borrow().len() as f64 {
+            return;
+        }
         let servers = self.shelf.servers.borrow();
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let before = |g| active().filter(|s| s.rank(g) < server.rank(g)).count();
@@ -629,19 +668,21 @@
         }
     }
 
-    /// Guards against all proxies asking in step, after a start or a failed call.
+    /// Guards against all proxies asking in step, after a start or a failed call: what the list's service
+    /// cannot work through in time is given up, but still worked through, before what is asked then.
     fn ask_later(&mut self, now: Point, host: &mut dyn Host) {
-        // The first call waits under half a second; each failure doubles that.
-        const FIRST: Span = Span::millis(400);
+        const LEAST: Span = Span::millis(200);
+        // Of 40 and 80 ms a hundred proxies did as well with either; three ask about as they always did.
+        const EACH: Span = Span::millis(40);
         let Some(must_ask_in) = self.must_ask_in else { return };
-        let pause = self.jittered(FIRST.times(f64::from(1u32 << self.list_failures.min(8))));
-        let at = now + pause.min(must_ask_in.times(0.4));
-        self.asks_at = Some(at);
-        host.wake(at);
+        let spread = EACH.times(self.proxies * f64::from(1u32 << self.list_failures.min(8)));
+        let pause = LEAST + spread.min(must_ask_in.times(0.8)).times(self.shelf.luck());
+        self.asks_at = Some(now + pause);
+        host.wake(now + pause);
     }
 
-    fn jittered(&mut self, most: Span) -> Span {
-        most.times(0.5 + 0.5 * f64::from(self.chance.generate::<f32>()))
+    fn jittered(&self, most: Span) -> Span {
+        most.times(0.5 + 0.5 * self.shelf.luck())
     }
 
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 //! let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0 };
 //! let offering = Offering { effect: Effect::Replayable, message_limit: None };
 //! let pause = Span::millis(2000);
-//! let mut chooser = Chooser::new(7, vec![offering], 4, pause, None, warm_up);
+//! let mut chooser = Chooser::new(7, vec![offering], 4, pause, None, 3, warm_up);
 //! let server = Listed {
 //!     server: "192.0.2.1:80".into(),
 //!     zone: "a".into(),
