--- a/crates/proxy/src/notes.rs
+++ b/crates/proxy/src/notes.rs
@@ -18,8 +18,8 @@
     pub fn is_delay(&self, told: f64, now: Point) -> bool {
         // Of 1,300 loads seen none was less: a client that asks for so little is as good as gone.
         const LEAST_LOAD: f64 = 300.0;
-        // No message is waited for so long.
-        const LONGEST_MS: f64 = 10_000.0;
+        // The longest seen was 3.3 s; what is longer is a load that keeps the beat by chance.
+        const LONGEST_MS: f64 = 4000.0;
         // What is between the two is a delay where it keeps the beat of the notes before it.
         const BEAT_MS: f64 = 1000.0;
         const OFF_BEAT_MS: f64 = 40.0;
