Cold servers' share reckoned from what the settings say the servers can hold

The settings tell what the fleet can hold (tenant_quota_connections); WarmUp::part is this proxy's part of it, and the larger of the two counts. Where the settings do not tell, nothing changes.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -101,6 +101,8 @@
     #[serde(default)]
     message_aim_ms: Vec<Amount>,
     #[serde(default)]
+    tenant_quota_connections: Vec<Amount>,
+    #[serde(default)]
     tells_delay: bool,
 }
 
@@ -120,11 +122,13 @@
 /// Reads the terms from the text of their JSON object.
 pub fn parse(seed: u64, text: &str) -> Result<Terms> {
     let env: Env = serde_json::from_str(text)?;
+    let proxies = env.balancers.map_or(MANY, NonZeroUsize::get);
     let Env { offerings, invariants, bounds, extra, .. } = env;
     let warm_up = WarmUp {
         cold_from: invariants.cold_from.0,
         cold_span: Span::from_ms(invariants.cold_ms.0),
         fall_multiple: invariants.overload_factor.0,
+        part: extra.tenant_quota_connections.iter().map(|quota| quota.0).sum::<f64>() / proxies as f64,
     };
     let must_ask_in = match env.discovery {
         Discovery::Automatic => None,
@@ -151,7 +155,7 @@
         bounds.most_connects,
         Span::from_ms(bounds.max_retry_after_ms.0),
         must_ask_in,
-        env.balancers.map_or(MANY, NonZeroUsize::get),
+        proxies,
         warm_up,
     );
     Ok(Terms {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -270,6 +270,8 @@
     pub cold_from: f64,
     pub cold_span: Span,
     pub fall_multiple: f64,
+    /// What the servers can hold, as far as the settings tell: this proxy's part of it, in connections.
+    pub part: f64,
 }
 
 impl WarmUp {
@@ -285,7 +287,7 @@
         const USED: f64 = 0.5;
         let present = self.cold_from + (1.0 - self.cold_from) * age;
         // A cold server can take what fills it over its warm-up; the circuit itself is open, too.
-        let filling = (open + 1.0) * Shelf::JUST_BEFORE.over(self.cold_span);
+        let filling = (open + 1.0).max(self.part) * Shelf::JUST_BEFORE.over(self.cold_span);
         filling * USED * self.fall_multiple * present / others
     }
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -80,12 +80,12 @@
     }
 
     pub fn seeded(seed: u64, list: &[Listed]) -> Self {
-        Self::among(3, seed, list)
+        Self::among(3, 0.0, seed, list)
     }
 
-    /// One of so many.
-    pub fn among(proxies: usize, seed: u64, list: &[Listed]) -> Self {
-        let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0 };
+    /// One of so many, whose part of what the servers can hold is this, if the settings tell.
+    pub fn among(proxies: usize, part: f64, seed: u64, list: &[Listed]) -> Self {
+        let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0, part };
         let referenced = Effect::Referenced { among: Circle::Zone, window: Span::millis(1500) };
         let message_limit = Some(Span::millis(50));
         let offerings = [Effect::Replayable, Effect::SingleUse, referenced];
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -186,7 +186,7 @@
 fn a_hundred_proxies_started_together_ask_for_the_list_one_after_the_other() {
     let asked = |proxies: usize| -> Vec<Span> {
         let first = |seed| {
-            let proxy = Proxy::among(proxies, seed, &TWELVE.map(server));
+            let proxy = Proxy::among(proxies, 0.0, seed, &TWELVE.map(server));
             proxy.notes.alarms[0].since(proxy.now)
         };
         (0..proxies as u64).map(first).collect()
@@ -220,7 +220,7 @@
 fn a_jam_slows_a_hundred_proxies_that_have_one_client_each() {
     // Whatever is sent ends in an error, and the client comes straight back, as a new circuit each time.
     let sent_in_a_second_of_the_jam = |seed: u64| {
-        let mut proxy = Proxy::among(100, seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &TWELVE.map(server));
+        let mut proxy = Proxy::among(100, 0.0, seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &TWELVE.map(server));
         let mut before = 0;
         for i in 0..40 {
             if i == 30 {
@@ -536,9 +536,9 @@
 #[test]
 fn of_a_hundred_proxies_that_see_next_to_nothing_a_cold_server_gets_its_part() {
     // Every proxy holds one connection when a server comes back cold, and then sees so many clients at once.
-    let sent = |clients: u64| {
+    let sent = |part: f64, clients: u64| {
         let of_one = |seed: u64| {
-            let mut proxy = Proxy::seeded(seed, &TWELVE.map(server));
+            let mut proxy = Proxy::among(100, part, seed, &TWELVE.map(server));
             proxy.settles(plain(&format!("early-{seed}")));
             proxy.passes(5000);
             proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a7") }], false, proxy.now);
@@ -550,11 +550,14 @@
         (0..100).map(of_one).sum::<usize>()
     };
     // One each is little: all that come by the hash are let in, where a budget saved up alone let in none.
-    let calm = sent(1);
+    let calm = sent(0.0, 1);
     assert!((4..=14).contains(&calm), "{calm}");
     // Five each are a storm: a thirteenth would be 38.
-    let storm = sent(5);
+    let storm = sent(0.0, 5);
     assert!((4..=25).contains(&storm), "{storm}");
+    // Where the settings say that the servers can hold three times what they do, more of the storm is let in.
+    let told = sent(6.0, 5);
+    assert!((storm + 3..=38).contains(&told), "{told} beside {storm}");
 }
 
 #[test]
