Prices below nothing in the settings are refused at the start

Need: nonsense in what the settings tell of the fleet is to be refused with one clear line; charges were not read at all. They are read as amounts from 0 up now, and not weighed. Test: nonsense_is_refused_in_one_line_that_names_it. The decisions are untouched.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -6,6 +6,7 @@
 use shelfgrade::choice::{Chooser, WarmUp};
 use shelfgrade::host::{Circle, Effect, Offering};
 use shelfgrade::time::Span;
+use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 
 // So many proxies are taken to share the servers where the settings do not tell: cautious, as what each does
@@ -31,6 +32,9 @@
 #[derive(Deserialize)]
 struct Env {
     balancers: Option<NonZeroUsize>,
+    /// Prices are not weighed yet, but one below nothing shows that the settings are no good.
+    #[serde(default, rename = "charges")]
+    _charges: BTreeMap<String, Amount>,
     discovery: Discovery,
     offerings: Vec<Class>,
     bounds: Bounds,
@@ -192,6 +196,7 @@
         assert!(refused(r#""balancers":-4,"#, "8600").contains("-4"));
         assert!(refused(r#""balancers":"many","#, "8600").contains("many"));
         assert!(refused("", "-1").contains("-1 where a figure from 0 up is wanted"));
+        assert!(refused(r#""charges":{"probe":-0.5},"#, "8600").contains("-0.5"));
         assert!(refused("", "1e999").lines().count() == 1);
     }
 
