Groups meet from their first clients where a proxy cannot see most servers

What came back met a second fault: two clients of one group among a proxy's handful gave it six servers of 81. Ruled out: the window of connects (18 pushed back before second 6), discovery (no call failed), CPU (4 ms in the worst second). At fault: Placement::choose takes strain seen for strain that is; Shelf::width divides by sixteen samples whatever the fleet. Changed: the share of servers at which a proxy would hold nothing in a full fleet, exp(-part / servers) from the settings, is drawn against like strain (0.9 at 300 proxies and 81 servers, none at three and ten); a group's share is taken of as many samples as there are servers, at the least.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 2. distrust: a fading score from failures and late messages or probes, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
-//! 4. gathering: what comes back, or finds its pick or the fleet strained, goes to its group's servers;
+//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group;
 //! 5. relief: a server that is late so has connections sent away, first those that are not with their group;
 //! 6. pacing: failed connects narrow how many may be out at once.
 //!
@@ -139,11 +139,11 @@
 
     /// How many of so many servers a group needs by its share of the traffic.
     fn width(&self, group: u64, servers: usize) -> usize {
-        // Fewer samples than this say little about a share.
+        // Fewer samples than this, or than there are servers to share among, say little about a share.
         const FEWEST: usize = 16;
         let groups = self.groups.borrow();
         let more = groups.iter().filter(|g| g.1 == group).count().saturating_sub(1);
-        (1 + more * servers / groups.len().max(FEWEST)).min(servers)
+        (1 + more * servers / groups.len().max(FEWEST).max(servers)).min(servers)
     }
 
     /// The wait after which a connect's silence is unusual, given the earlier gaps.
@@ -290,6 +290,16 @@
         let filling = (open + 1.0).max(self.part) * Shelf::JUST_BEFORE.over(self.cold_span);
         filling * USED * self.fall_multiple * present / others
     }
+
+    /// The share of so many servers at which this proxy would hold nothing in a fleet that is full, where the
+    /// settings tell what that is: their strain it cannot see.
+    fn unseen(&self, servers: usize) -> f64 {
+        if self.part > 0.0 {
+            (-self.part / servers as f64).exp()
+        } else {
+            0.0
+        }
+    }
 }
 
 /// Third stage: the design's choice of a server, with the load skip.
@@ -335,7 +345,8 @@
             // Guards against placing by hash in a fleet that is strained where this proxy cannot see it: the
             // strain seen counts for every server, and twice: at half on the mean all circuits gather.
             const STRAIN_COUNTS: f64 = 2.0;
-            let calm = || draw >= STRAIN_COUNTS * self.shelf.strain(now);
+            let unseen = by_group.map_or(0.0, |_| self.warm_up.unseen(servers.len()));
+            let calm = || draw >= unseen.max(STRAIN_COUNTS * self.shelf.strain(now));
             if own.is_some_and(|s| circuit.mid_flow || trusted(&s) && calm()) {
                 return own.cloned();
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -5,6 +5,7 @@
 use fake::*;
 use shelfgrade::host::*;
 use shelfgrade::time::Span;
+use std::collections::BTreeSet;
 
 /// A client key whose circuits go to `place` in an untroubled proxy of four.
 fn key_for(place: &str) -> String {
@@ -461,12 +462,45 @@
             let key = format!("back-{i}");
             proxy.settles(Arrival { group: Some(group), returned: true, ..plain(&key) })
         };
-        (0..30).map(back).collect::<std::collections::BTreeSet<_>>().len()
+        (0..30).map(back).collect::<BTreeSet<_>>().len()
     };
     let (large, small) = (places("large"), places("small-1"));
     assert!((5..=9).contains(&large) && small <= 2, "{large} {small}");
 }
 
+/// Three hundred proxies placed 1,218 clients by hash, 15 to a server, and saw no strain before servers broke off.
+#[test]
+fn where_a_proxy_cannot_see_most_servers_a_group_meets_from_its_first_clients_on() {
+    let ids: Vec<_> = (0..80).map(|i| format!("a{i:02}")).collect();
+    let list: Vec<_> = ids.iter().map(|id| server(id)).collect();
+    let places = |proxies: usize, held: f64| -> BTreeSet<_> {
+        let first = |i| {
+            let mut proxy = Proxy::among(proxies, held / proxies as f64, i, &list);
+            proxy.settles(Arrival { group: Some("g"), ..plain(&format!("key{i}")) })
+        };
+        (0..30).filter_map(first).collect()
+    };
+    // What eighty servers can hold is 30 each; a few draws still go by the key's hash.
+    assert!(places(300, 2400.0).len() <= 8);
+    assert!(places(3, 2400.0).len() > 20);
+    assert!(places(300, 0.0).len() > 20);
+}
+
+/// Two clients of one group made a proxy of three hundred spread it over six servers of eighty.
+#[test]
+fn two_of_a_few_clients_do_not_make_a_group_large() {
+    let ids: Vec<_> = (0..80).map(|i| format!("a{i:02}")).collect();
+    let list: Vec<_> = ids.iter().map(|id| server(id)).collect();
+    let place = |i| {
+        let mut proxy = Proxy::with(&list);
+        let mut back = |key: &str| proxy.settles(Arrival { group: Some("g"), returned: true, ..plain(key) });
+        back("one");
+        back("two");
+        back(&format!("key{i}"))
+    };
+    assert!((0..40).filter_map(place).collect::<BTreeSet<_>>().len() <= 3);
+}
+
 #[test]
 fn a_strained_fleet_gathers_new_circuits_even_at_servers_not_heard_of() {
     let at_b4 = |group: &String| home(&mut Proxy::of_twelve(), group).as_deref() == Some("b4");
