Where a proxy sees little of the fleet the first sign of life gets the circuit

Changed: Placement hails the group's servers and the two past them, and the first PONG within the shortest message limit gets the circuit; Recall, the draws and the warm-up share stand before it as they did. The connection of a sign is closed with it. Probes are carried out also where servers tell delays; rounds of probes are not.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -6,6 +6,7 @@
 use shelfgrade::choice::Chooser;
 use shelfgrade::host::{Arrival, CircuitId, Ending, Host, Listed, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
+use shelfgrade_terms::Terms;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
@@ -26,6 +27,7 @@
 struct Instance {
     chooser: Chooser,
     offerings: Vec<String>,
+    may_probe: bool,
 }
 
 /// A list whose lines are still coming in.
@@ -106,7 +108,8 @@
     fn event(&mut self, who: u64, line: &Line) -> Result<()> {
         if line.name == "BORN" {
             let terms = shelfgrade_terms::parse(line.whole("salt")?, line.required("env")?).context("env")?;
-            self.instances.insert(who, Instance { chooser: terms.chooser, offerings: terms.offerings });
+            let Terms { chooser, offerings, may_probe, .. } = terms;
+            self.instances.insert(who, Instance { chooser, offerings, may_probe });
             return Ok(());
         }
         if line.name == "HALT" {
@@ -118,8 +121,8 @@
             .instances
             .get_mut(&who)
             .with_context(|| format!("{} for instance {who}, which is not running", line.name))?;
-        let Instance { chooser, offerings } = instance;
-        let host = self.reply.of(who);
+        let Instance { chooser, offerings, may_probe } = instance;
+        let host = self.reply.of(who, *may_probe);
         match line.name {
             "TARGETS" => {
                 let form = line.required("form")?;
@@ -190,7 +193,7 @@
         let Some(list) = self.list.take_if(|l| l.missing == 0) else { return };
         let Some(instance) = self.instances.get_mut(&list.who) else { return };
         if list.restored {
-            instance.chooser.start(&list.lines, self.now, self.reply.of(list.who));
+            instance.chooser.start(&list.lines, self.now, self.reply.of(list.who, instance.may_probe));
         } else {
             instance.chooser.listed(&list.lines, list.whole, self.now);
         }
@@ -230,11 +233,12 @@
     text: String,
     from: Option<u64>,
     who: u64,
+    may_probe: bool,
 }
 
 impl Reply {
-    fn of(&mut self, who: u64) -> &mut Self {
-        self.who = who;
+    fn of(&mut self, who: u64, may_probe: bool) -> &mut Self {
+        (self.who, self.may_probe) = (who, may_probe);
         self
     }
 
@@ -270,8 +274,11 @@
         self.say(format_args!("LISTEN want=1"));
     }
 
-    fn probe(&mut self, server: &ServerId) {
-        self.say(format_args!("ASK_LOAD server={server}"));
+    fn probe(&mut self, server: &ServerId) -> bool {
+        if self.may_probe {
+            self.say(format_args!("ASK_LOAD server={server}"));
+        }
+        self.may_probe
     }
 
     fn wake(&mut self, at: Point) {
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -80,8 +80,8 @@
     fn spoken_for(&self) -> usize {
         // For the listener, discovery, the loop and the log.
         const SPARE: usize = 24;
-        // Only servers that hold a circuit are probed, however long the list.
-        let probes = self.servers.len().min(self.circuits.len() + 1);
+        // Only servers that hold a circuit are probed, or three for a new one, however long the list.
+        let probes = self.servers.len().min(3 * (self.circuits.len() + 1));
         2 * self.circuits.len() + probes + SPARE
     }
 
@@ -217,9 +217,10 @@
         }
     }
 
-    fn probe(&mut self, server: &ServerId) {
-        let server = self.servers.get(server).filter(|_| self.may_probe);
-        self.to_probe.extend(server.cloned());
+    fn probe(&mut self, server: &ServerId) -> bool {
+        let server = self.servers.get(server).filter(|_| self.may_probe).cloned();
+        self.to_probe.extend(server.clone());
+        server.is_some()
     }
 
     fn subscribe(&mut self) {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -5,7 +5,7 @@
 use crate::ring::Ring;
 use crate::server::Server;
 use crate::socket::Socket;
-use shelfgrade::time::Point;
+use shelfgrade::time::{Point, Span};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -18,13 +18,19 @@
     asked: Cell<Option<Point>>,
 }
 
+// Longer than anyone waits for a sign of life, shorter than rounds of probes are apart.
+const JUST_ASKED: Span = Span::millis(250);
+
 impl Probe {
     /// Asks for a sign of life over the connection that there is, or over a new one. One that is still out
-    /// has taken this long already, and is given up.
+    /// serves, or has taken this long already and is given up.
     pub fn ask(server: &Rc<Server>, proxy: &mut Proxy) {
         let now = proxy.now();
         let standing = server.probe.borrow().clone();
         let out_since = standing.as_ref().and_then(|probe| probe.asked.get());
+        if out_since.is_some_and(|asked| now.since(asked) < JUST_ASKED) {
+            return;
+        }
         if let Some(asked) = out_since {
             server.probe.take();
             proxy.probed(server, now.since(asked));
@@ -85,7 +91,9 @@
                 }
             }
         }
-        if self.socket.ended.get().is_some() {
+        // Where servers tell what strains them, rounds do not probe, and the next sign may be wanted minutes on.
+        let done = proxy.hands.tells_delay && self.asked.get().is_none();
+        if done || self.socket.ended.get().is_some() {
             self.close(server);
         }
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -81,7 +81,7 @@
     proxy.hands.follow(&start.known);
     proxy.chooser.start(&start.known.lines(), now, &mut proxy.hands);
     // Lines come back at once here however strained a server is.
-    proxy.chooser.look_round(now, &mut proxy.hands);
+    proxy.chooser.look_round(!proxy.hands.tells_delay, now, &mut proxy.hands);
     proxy.settle();
     let address = proxy.door.address().context("listener")?;
     log::info!("{} listens on {address}, {} servers known", start.name, proxy.hands.servers.len());
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -305,6 +305,25 @@
     assert!(server.try_accept().is_none());
 }
 
+/// One of a hundred proxies sees no server's load: three are asked, and who answers first gets the client.
+#[test]
+fn of_a_groups_servers_the_first_to_give_a_sign_of_life_is_connected_to_and_the_sign_leaves_nothing_open() {
+    let places = ["s1", "s2", "s3"].map(Place::new);
+    let terms = Terms { probes: true, tells_delay: true, aim_ms: 5000, quota: 1, ..USUAL };
+    let program = Program::start(terms, &places.each_ref());
+    let mut client = program.opens("lift-1", ",d=20000,g=bank");
+    let mut signs = places.each_ref().map(Place::accept);
+    signs.iter_mut().for_each(|sign| assert_eq!(sign.line(), "PING"));
+    assert!(places.iter().all(|place| place.try_accept().is_none()), "nobody is connected to unasked");
+    signs[1].say("PONG\r\n");
+    let (_at_server, line) = places[1].serve();
+    assert!(line.contains(" lift-1 "), "{line}");
+    assert_eq!((client.line(), signs[1].line()), ("UP 0123".into(), "".into()));
+    signs[0].say("PONG\r\n");
+    assert_eq!(signs[0].line(), "");
+    assert!(places[0].try_accept().is_none());
+}
+
 #[test]
 fn the_next_watch_follows_at_once_and_a_split_answer_is_put_together() {
     let server = Place::new("s1");
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -119,7 +119,7 @@
     pub dial_time_out: Option<Span>,
     /// Servers tell by themselves how long messages take.
     pub tells_delay: bool,
-    /// Probes are allowed, and of use: nobody tells how long messages take.
+    /// Probes are allowed.
     pub may_probe: bool,
 }
 
@@ -167,7 +167,7 @@
         offerings: offerings.into_iter().map(|o| o.name).collect(),
         dial_time_out: Some(bounds.dial_timeout_ms.0).filter(|ms| *ms > 0.0).map(Span::from_ms),
         tells_delay: extra.tells_delay,
-        may_probe: bounds.probes && !extra.tells_delay,
+        may_probe: bounds.probes,
     })
 }
 
@@ -225,7 +225,9 @@
         fn forfeit(&mut self, _: CircuitId) {}
         fn send_away(&mut self, _: CircuitId) {}
         fn subscribe(&mut self) {}
-        fn probe(&mut self, _: &ServerId) {}
+        fn probe(&mut self, _: &ServerId) -> bool {
+            false
+        }
         fn wake(&mut self, at: Point) {
             self.0.push(at);
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,8 @@
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 2. distrust: a fading score from failures and late messages or probes, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
-//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group;
+//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group, out
+//!    of sight at the one of its servers that first gives a sign of life;
 //! 5. relief: a server that is late so has connections sent away, first those that are not with their group;
 //! 6. pacing: failed connects narrow how many may be out at once.
 //!
@@ -177,6 +178,16 @@
         self.held.borrow().len() as f64 + f64::from(self.waiting.get())
     }
 
+    /// Has the circuit wait for a sign of life, which others may wait for too, where asking is allowed.
+    fn hail(&self, circuit: &Rc<Circuit>, host: &mut dyn Host) {
+        let mut hailed_by = self.hailed_by.borrow_mut();
+        hailed_by.retain(|c| c.upgrade().is_some_and(|c| c.hails.get()));
+        if !hailed_by.is_empty() || host.probe(&self.id) {
+            hailed_by.push(Rc::downgrade(circuit));
+            circuit.hails.set(true);
+        }
+    }
+
     /// The score of distrust now, from 0 to 1.
     fn distrust(&self, now: Point) -> f64 {
         // Notes of late messages come once a second: no fading between two, or retries leak in meanwhile.
@@ -248,7 +259,8 @@
         let may_try =
             circuit.connects.borrow().len() < self.shelf.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
-        let turn = (may_try && (circuit.mid_flow || self.shelf.has_turn())).then_some(Step::Pass);
+        let turn = may_try && (circuit.mid_flow || circuit.hailed.get() || self.shelf.has_turn());
+        let turn = turn.then_some(Step::Pass);
         turn.unwrap_or(Step::End)
     }
 
@@ -294,11 +306,7 @@
     /// The share of so many servers at which this proxy would hold nothing in a fleet that is full, where the
     /// settings tell what that is: their strain it cannot see.
     fn unseen(&self, servers: usize) -> f64 {
-        if self.part > 0.0 {
-            (-self.part / servers as f64).exp()
-        } else {
-            0.0
-        }
+        (-self.part / servers as f64).exp() * f64::from(self.part > 0.0)
     }
 }
 
@@ -309,7 +317,7 @@
 }
 
 impl Placement {
-    fn choose(&self, circuit: &Circuit, now: Point) -> Option<Rc<Server>> {
+    fn choose(&self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) -> Pick {
         // The design page's figures; of those under way too, against connects that pile up at a slow server.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
@@ -339,13 +347,13 @@
 
         // The ordinary path: the key's hash, and the next in order past what drains, is gone or is overfull.
         let by_group = circuit.group.filter(|_| !circuit.mid_flow);
+        let unseen = by_group.map_or(0.0, |_| self.warm_up.unseen(servers.len()));
         if !circuit.returned || by_group.is_none() {
             let first = circuit.key as usize % servers.len().max(1);
             let own = servers[first..].iter().chain(&servers[..first]).filter(usable).find(|s| !overfull(s));
             // Guards against placing by hash in a fleet that is strained where this proxy cannot see it: the
             // strain seen counts for every server, and twice: at half on the mean all circuits gather.
             const STRAIN_COUNTS: f64 = 2.0;
-            let unseen = by_group.map_or(0.0, |_| self.warm_up.unseen(servers.len()));
             let calm = || draw >= unseen.max(STRAIN_COUNTS * self.shelf.strain(now));
             if own.is_some_and(|s| circuit.mid_flow || trusted(&s) && calm()) {
                 return own.cloned();
@@ -364,14 +372,24 @@
         // tries two more, enough where a fifth of a fleet is slow, and else is pushed back.
         const MORE: usize = 2;
         let order = || ranked.iter().map(|r| r.1).take(width + MORE).filter(trusted);
+        // Guards against hundreds of proxies that see no server's strain filling some servers and leaving
+        // others empty: whoever first gives a sign of life has least to do.
+        if draw < unseen && order().nth(1).is_some() && !circuit.hailed.replace(true) {
+            order().for_each(|s| s.hail(circuit, host));
+        }
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
 }
 
 impl Stage for Placement {
-    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
-        *pick = pick.take().or_else(|| self.choose(circuit, now));
-        pick.as_ref().map_or(Step::End, |_| Step::Pass)
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, host: &mut dyn Host) -> Step {
+        let there = |s: &Rc<Server>| s.standing.get() == Standing::Active;
+        *pick = pick.take().filter(there).or_else(|| self.choose(circuit, now, host));
+        match pick {
+            _ if circuit.hails.get() => Step::Keep,
+            Some(_) => Step::Pass,
+            None => Step::End,
+        }
     }
 
     fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
@@ -410,6 +428,7 @@
         server.waiting.set(server.waiting.get() + 1);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
+        circuit.hailed.set(false);
         Step::Keep
     }
 
@@ -444,6 +463,8 @@
     offerings: Vec<Offering>,
     /// The most delicate offering's, as any may be held by a server.
     message_limit: Option<Span>,
+    /// Whoever gives no sign of life in the time that a message may take is strained.
+    sign_within: Span,
     most_pause: Span,
     shelf: Rc<Shelf>,
     /// How many proxies there are beside this one and with it.
@@ -452,8 +473,10 @@
     must_ask_in: Option<Span>,
     asks_at: Option<Point>,
     list_failures: u32,
-    /// Where messages tell nothing of a server's strain: when to look round next.
-    looks_at: Option<Point>,
+    /// When to look round next, and whether that probes.
+    looks_at: Option<(Point, bool)>,
+    /// Circuits that wait for a sign of life, and until when.
+    hailing: Vec<(Point, Weak<Circuit>)>,
     stages: [Box<dyn Stage>; 4],
     /// The door: every circuit unanswered, standing or with a connect still out.
     circuits: BTreeMap<CircuitId, Rc<Circuit>>,
@@ -482,8 +505,10 @@
             seed,
             chance,
         });
+        let message_limit = offerings.iter().filter_map(|o| o.message_limit).min();
         Chooser {
-            message_limit: offerings.iter().filter_map(|o| o.message_limit).min(),
+            message_limit,
+            sign_within: message_limit.unwrap_or(Span::millis(100)),
             offerings,
             most_pause,
             must_ask_in,
@@ -491,6 +516,7 @@
             asks_at: None,
             list_failures: 0,
             looks_at: None,
+            hailing: Vec::new(),
             stages: [
                 Box::new(Recall { table: BTreeMap::new(), swept: Point::default() }),
                 Box::new(Pacing::new(shelf.clone(), proxies as f64)),
@@ -530,14 +556,18 @@
         if self.asks_at.take_if(|at| *at <= now).is_some() {
             host.subscribe();
         }
-        if self.looks_at.take_if(|at| *at <= now).is_some() {
-            self.look_round(now, host);
+        if let Some((_, probing)) = self.looks_at.take_if(|looks| looks.0 <= now) {
+            self.look_round(probing, now, host);
+        }
+        let due: Vec<_> = self.hailing.extract_if(.., |h| h.0 <= now).collect();
+        for circuit in due.iter().filter_map(|h| h.1.upgrade()).filter(|c| c.hails.take()) {
+            self.offer(&circuit, None, now, host);
         }
     }
 
-    /// For a host on which messages tell nothing, called once; it comes round by itself. Probes the servers
-    /// that hold something of this proxy's, and has clients leave a draining one before it stops.
-    pub fn look_round(&mut self, now: Point, host: &mut dyn Host) {
+    /// For a host on sockets, called once; it comes round by itself. Has clients leave a draining server before
+    /// it stops and, where messages tell nothing, probes those that hold something of this proxy's.
+    pub fn look_round(&mut self, probing: bool, now: Point, host: &mut dyn Host) {
         // A draining server of twenty is empty in five seconds.
         const ROUND: Span = Span::millis(250);
         // A probe costs work, and relief takes one guest at a time: of 250 ms to 3 s these did best.
@@ -547,14 +577,14 @@
         const ENOUGH: f64 = 4.0;
         // Twenty-five seconds after the worst.
         const FADED: f64 = 0.05;
-        self.looks_at = Some(now + ROUND);
+        self.looks_at = Some((now + ROUND, probing));
         host.wake(now + ROUND);
         for server in self.shelf.servers.borrow().iter() {
             let every = if server.distrust(now) > FADED { STRAINED } else { CALM };
             let every = every.times((ENOUGH / server.open().max(1.0)).max(1.0));
             if server.standing.get() == Standing::Draining {
                 self.relieve(server, true, host);
-            } else if server.open() > 0.0 && now.since(server.probed.get()) >= every {
+            } else if probing && server.open() > 0.0 && now.since(server.probed.get()) >= every {
                 server.probed.set(now);
                 host.probe(&server.id);
             }
@@ -567,6 +597,11 @@
         const FROM: f64 = 1.6;
         const TO: f64 = 2.1;
         let Some(server) = self.shelf.find(server) else { return };
+        // What was given up in place of an answer has taken longer.
+        let waiting = if took <= self.sign_within { server.hailed_by.take() } else { Vec::new() };
+        for circuit in waiting.iter().filter_map(Weak::upgrade).filter(|c| c.hails.take()) {
+            self.offer(&circuit, Some(server.clone()), now, host);
+        }
         // Longer than strain is let last; a freak answer sets the quickest no longer than that.
         const SAMPLES: usize = 32;
         let mut answers = server.answers.borrow_mut();
@@ -582,7 +617,7 @@
         if !circuit.mid_flow {
             keep_last(SAMPLES, now, &mut self.shelf.arrivals.borrow_mut());
         }
-        self.offer(&circuit, now, host);
+        self.offer(&circuit, None, now, host);
     }
 
     /// A connection that was already open when this proxy started; connect 0 counts as made.
@@ -606,7 +641,7 @@
         if over {
             self.circuits.remove(&circuit.id);
         } else {
-            self.offer(&circuit, now, host);
+            self.offer(&circuit, None, now, host);
         }
     }
 
@@ -669,7 +704,11 @@
 
     /// The client has left; nothing more may be sent for the circuit.
     pub fn left(&mut self, circuit: CircuitId) {
-        self.circuits.get(&circuit).inspect(|c| c.answered.set(true));
+        let left = self.circuits.get(&circuit).inspect(|c| c.answered.set(true));
+        // Guards against a sign of life sending on what nobody waits for: no connect's end will remove it.
+        if left.is_some_and(|c| c.hails.take()) {
+            self.circuits.remove(&circuit);
+        }
     }
 
     /// This proxy ends, and this is called so often till then. Guards against a crowd of all its clients.
@@ -694,10 +733,6 @@
         host.wake(now + pause);
     }
 
-    fn jittered(&self, most: Span) -> Span {
-        most.times(0.5 + 0.5 * self.shelf.luck())
-    }
-
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
         // An offering never heard of is treated as the most delicate kind.
         let offering = arrival.offering.and_then(|o| self.offerings.get(o));
@@ -705,15 +740,11 @@
             id: arrival.circuit,
             key: arrival.key.map_or(arrival.circuit.0, |k| xxh3_64(k.as_bytes())),
             group: arrival.group.map(|g| xxh3_64(g.as_bytes())),
-            effect: offering.map_or(Effect::SingleUse, |o| o.effect),
+            effect: offering.map(|o| o.effect).unwrap_or_default(),
             patience_ends: arrival.patience_ends,
             mid_flow: arrival.mid_flow,
             returned: arrival.returned,
-            stands: Cell::new(false),
-            answered: Cell::new(false),
-            errored: Cell::new(false),
-            load: Cell::new(0.0),
-            connects: RefCell::default(),
+            ..Circuit::default()
         });
         // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
         const SAMPLES: usize = 128;
@@ -726,18 +757,23 @@
     }
 
     /// Runs a circuit through the chain; what the chain does not keep gets its final answer at once.
-    fn offer(&mut self, circuit: &Rc<Circuit>, now: Point, host: &mut dyn Host) {
-        let mut pick = None;
+    fn offer(&mut self, circuit: &Rc<Circuit>, mut pick: Pick, now: Point, host: &mut dyn Host) {
         for stage in &mut self.stages {
             match stage.forth(circuit, &mut pick, now, host) {
                 Step::Pass => continue,
+                Step::Keep if circuit.hails.get() => {
+                    // Guards against a circuit held by servers that give no sign.
+                    let until = now + self.sign_within.min(circuit.patience_ends.since(now).times(0.5));
+                    self.hailing.push((until, Rc::downgrade(circuit)));
+                    return host.wake(until);
+                }
                 Step::Keep => return,
                 Step::End => break,
             }
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            host.push_back(circuit.id, self.jittered(self.most_pause));
+            host.push_back(circuit.id, self.most_pause.times(0.5 + 0.5 * self.shelf.luck()));
         } else {
             host.forfeit(circuit.id);
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,20 +16,20 @@
     fn send_away(&mut self, circuit: CircuitId);
     /// Asks to be sent every change of the server list from now on.
     fn subscribe(&mut self);
-    /// Has a server answer a sign of life, where that is allowed; how long it took comes as `probed`.
-    fn probe(&mut self, server: &ServerId);
+    /// Has a server give a sign of life; how long that took comes as `probed`. False where it is not allowed.
+    fn probe(&mut self, server: &ServerId) -> bool;
     /// Asks for a call of `woke` at `at`.
     fn wake(&mut self, at: Point);
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CircuitId(pub u64);
 
 /// A server's name at the door; its text also gives the order of the list.
 pub type ServerId = Rc<str>;
 
 /// Whether a circuit may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     Replayable,
     /// Carries a mark by which the servers of `among` drop its repeats for `window`.
@@ -37,6 +37,8 @@
         among: Circle,
         window: Span,
     },
+    /// The most delicate kind, which any is taken for that is not known.
+    #[default]
     SingleUse,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 //!     fn forfeit(&mut self, _: CircuitId) {}
 //!     fn send_away(&mut self, _: CircuitId) {}
 //!     fn subscribe(&mut self) {}
-//!     fn probe(&mut self, _: &ServerId) {}
+//!     fn probe(&mut self, _: &ServerId) -> bool { false }
 //!     fn wake(&mut self, _: Point) {}
 //! }
 //!
--- a/src/record.rs
+++ b/src/record.rs
@@ -24,6 +24,8 @@
     pub(crate) broke: Cell<bool>,
     /// The score of distrust as it was at a moment.
     pub(crate) distrust: Cell<(f64, Point)>,
+    /// Circuits that wait for its sign of life.
+    pub(crate) hailed_by: RefCell<Vec<Weak<Circuit>>>,
     /// When it was last probed, and how long its last answers took.
     pub(crate) probed: Cell<Point>,
     pub(crate) answers: RefCell<VecDeque<Span>>,
@@ -37,6 +39,7 @@
 }
 
 /// A circuit from its arrival to its final answer or, once it stands, to its end.
+#[derive(Default)]
 pub(crate) struct Circuit {
     pub(crate) id: CircuitId,
     /// Hashes of the client key and of the group.
@@ -48,6 +51,9 @@
     pub(crate) returned: bool,
     pub(crate) stands: Cell<bool>,
     pub(crate) answered: Cell<bool>,
+    /// It waits for the first sign of life from its servers, or has done so before the next connect.
+    pub(crate) hails: Cell<bool>,
+    pub(crate) hailed: Cell<bool>,
     /// A server has answered it with an error.
     pub(crate) errored: Cell<bool>,
     /// Work a second that its connection asks for, once the server has told.
