A connect that stands late tells of a jam, and a window below one recovers by itself

Ruled out: single servers (the waits are even over 41 of them). At fault: Pacing::back widened the window for what stood after two seconds; Shelf::has_turn let a part of one stay as it was until a connect had stood, which at 0.01 takes a hundred clients; Dispatch gave up half way in a jam as it does at one silent server. Changed: late for the offering's soft limit counts as a failure does; a part of one doubles every two seconds up to one; below one a connect waits its patience out. WarmUp, plain data, moved to record.rs.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -58,6 +58,7 @@
     group: Group,
     #[serde(default)]
     window_ms: Amount,
+    soft_limit_ms: Option<Amount>,
 }
 
 #[derive(Deserialize)]
@@ -151,6 +152,7 @@
                 window: Span::from_ms(class.window_ms.0),
             },
         },
+        soft_limit: class.soft_limit_ms.map(|limit| Span::from_ms(limit.0)),
         message_limit: extra.message_aim_ms.get(i).map(|limit| Span::from_ms(limit.0)),
     });
     let chooser = Chooser::new(
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,14 +9,14 @@
 //! 1. warm-up budget: a server that just started gets only its share of what it can bear;
 //! 2. distrust: a fading score from failures and late messages or probes, with the traffic following it;
 //! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
-//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group, out
-//!    of sight at the one of its servers that first gives a sign of life;
+//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group;
 //! 5. relief: a server that is late so has connections sent away, first those that are not with their group;
 //! 6. pacing: failed connects narrow how many may be out at once.
 //!
 //! A circuit passes `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its connects comes in reverse.
 
 use crate::host::{Arrival, Circle, CircuitId, Effect, Ending, Host, Listed, Offering, Standing};
+pub use crate::record::WarmUp;
 use crate::record::{Circuit, Connect, Server};
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
@@ -78,8 +78,8 @@
     groups: RefCell<VecDeque<(u64, u64)>>,
     /// When the last circuits came that no server held yet.
     arrivals: RefCell<VecDeque<Point>>,
-    /// How many connects may be out.
-    window: Cell<f64>,
+    /// How many connects might be out at some moment.
+    window: Cell<(f64, Point)>,
     most_connects: usize,
     seed: u64,
     chance: RefCell<WyRand>,
@@ -97,10 +97,17 @@
         arrivals.len().saturating_sub(1) as f64
     }
 
+    /// How many connects may be out now. Guards against a jam being long over before a proxy of few clients
+    /// hears of it: a part of one doubles by itself.
+    fn window(&self, now: Point) -> f64 {
+        let (window, at) = self.window.get();
+        (window * 2_f64.powf(now.since(at).over(Self::JUST_BEFORE))).min(window.max(1.0))
+    }
+
     /// Whether one more connect may go out; a part of one is a chance of that size.
-    fn has_turn(&self) -> bool {
+    fn has_turn(&self, now: Point) -> bool {
         let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
-        f64::from(out) + self.luck() < self.window.get()
+        f64::from(out) + self.luck() < self.window(now)
     }
 
     /// From 0 to 1, any as likely as the next.
@@ -249,7 +256,7 @@
         // Two clients that come together are no jam.
         const LEAST: f64 = 2.0;
         let widest = (WIDEST / proxies).max(LEAST);
-        shelf.window.set(widest);
+        shelf.window.set((widest, Point::default()));
         Pacing { shelf, widest, narrowest: (NARROWEST / proxies).min(1.0) }
     }
 }
@@ -259,33 +266,25 @@
         let may_try =
             circuit.connects.borrow().len() < self.shelf.most_connects && now < circuit.patience_ends;
         // Guards against a storm of tries that keeps a jam alive.
-        let turn = may_try && (circuit.mid_flow || circuit.hailed.get() || self.shelf.has_turn());
+        let turn = may_try && (circuit.mid_flow || circuit.hailed.get() || self.shelf.has_turn(now));
         let turn = turn.then_some(Step::Pass);
         turn.unwrap_or(Step::End)
     }
 
-    /// Halves the window where a jam may have failed a connect, and widens it by one where a whole one stood,
-    /// or by as much again where it is a part of one.
-    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, _: Point) {
-        let window = self.shelf.window.get();
-        self.shelf.window.set(match connect.ending {
-            _ if circuit.stands.get() || circuit.mid_flow => window,
-            None => (window + window.min(1.0 / window)).min(self.widest),
-            Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(self.narrowest),
-            _ => window,
-        });
+    /// Halves the window where a jam may have failed a connect or had it stand late, and widens it by one where
+    /// a whole one stood in time, or by as much again where it is a part of one.
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
+        let (window, took) = (self.shelf.window(now), now.since(connect.sent));
+        let window = match connect.ending {
+            _ if circuit.stands.get() || circuit.mid_flow => return,
+            None if took <= circuit.soft_limit => (window + window.min(1.0 / window)).min(self.widest),
+            None | Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(self.narrowest),
+            _ => return,
+        };
+        self.shelf.window.set((window, now));
     }
 }
 
-/// Keeps this proxy's share of what a starting server can bear.
-pub struct WarmUp {
-    pub cold_from: f64,
-    pub cold_span: Span,
-    pub fall_multiple: f64,
-    /// What the servers can hold, as far as the settings tell: this proxy's part of it, in connections.
-    pub part: f64,
-}
-
 impl WarmUp {
     /// The share of circuits that a server may have. Guards against pushing a cold one over, without counting
     /// on what one proxy of many sees of it: the circuits that came here just before another one are, on the
@@ -332,8 +331,7 @@
         const DRAW_LIFE: Span = Span::millis(2000);
         let seed = self.shelf.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
-        let open = servers.iter().map(|s| s.open()).sum();
-        let others = self.shelf.others(now);
+        let (open, others) = (servers.iter().map(|s| s.open()).sum(), self.shelf.others(now));
         let usable = |s: &&Rc<Server>| {
             s.standing.get() == Standing::Active
                 && circuit.may_go_to(s, now)
@@ -419,7 +417,7 @@
         // Guards against a patience spent on one silent server: half of what is left stays for another.
         let half = left.times(0.5);
         let time_out = match self.shelf.unusual_after() {
-            _ if last || circuit.effect == Effect::SingleUse => left,
+            _ if last || circuit.effect == Effect::SingleUse || self.shelf.window(now) < 1.0 => left,
             Some(unusual) if unusual > half => left,
             Some(unusual) => unusual.max(left.times(0.25)),
             None => half,
@@ -673,7 +671,7 @@
         if late > 0.0 {
             server.distrust.set((late.min(1.0).max(server.distrust(now)), now));
             // What is sent away should find a turn when it is back.
-            if self.shelf.has_turn() {
+            if self.shelf.has_turn(now) {
                 self.relieve(server, late > PILED_UP, host);
             }
         }
@@ -741,6 +739,9 @@
             key: arrival.key.map_or(arrival.circuit.0, |k| xxh3_64(k.as_bytes())),
             group: arrival.group.map(|g| xxh3_64(g.as_bytes())),
             effect: offering.map(|o| o.effect).unwrap_or_default(),
+            soft_limit: offering
+                .and_then(|o| o.soft_limit)
+                .unwrap_or(arrival.patience_ends.since(Point::default())),
             patience_ends: arrival.patience_ends,
             mid_flow: arrival.mid_flow,
             returned: arrival.returned,
--- a/src/host.rs
+++ b/src/host.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Offering {
     pub effect: Effect,
+    /// The time within which its connection should stand.
+    pub soft_limit: Option<Span>,
     /// The time within which a message on a standing connection should be answered.
     pub message_limit: Option<Span>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,7 @@
 //! let now = Point::from_ms(1000.0);
 //! let mut host = Printer(Vec::new());
 //! let warm_up = WarmUp { cold_from: 0.3, cold_span: Span::millis(8000), fall_multiple: 3.0, part: 0.0 };
-//! let offering = Offering { effect: Effect::Replayable, message_limit: None };
+//! let offering = Offering { effect: Effect::Replayable, soft_limit: None, message_limit: None };
 //! let pause = Span::millis(2000);
 //! let mut chooser = Chooser::new(7, vec![offering], 4, pause, None, 3, warm_up);
 //! let server = Listed {
--- a/src/record.rs
+++ b/src/record.rs
@@ -31,6 +31,15 @@
     pub(crate) answers: RefCell<VecDeque<Span>>,
 }
 
+/// What a starting server can bear, and this proxy's part of it.
+pub struct WarmUp {
+    pub cold_from: f64,
+    pub cold_span: Span,
+    pub fall_multiple: f64,
+    /// What the servers can hold, as far as the settings tell: this proxy's part of it, in connections.
+    pub part: f64,
+}
+
 /// One connect of a circuit.
 pub(crate) struct Connect {
     pub(crate) server: Rc<Server>,
@@ -46,6 +55,8 @@
     pub(crate) key: u64,
     pub(crate) group: Option<u64>,
     pub(crate) effect: Effect,
+    /// The time within which its connection should stand.
+    pub(crate) soft_limit: Span,
     pub(crate) patience_ends: Point,
     pub(crate) mid_flow: bool,
     pub(crate) returned: bool,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -47,6 +47,7 @@
 pub const REFERENCED: usize = 2;
 pub const MUST_ASK_IN: Span = Span::millis(10_000);
 pub const PATIENCE: Span = Span::millis(2000);
+pub const SOFT_LIMIT: Span = Span::millis(300);
 
 pub const TWELVE: [&str; 12] = ["a1", "a2", "a3", "a4", "a5", "a6", "b1", "b2", "b3", "b4", "b5", "b6"];
 
@@ -90,7 +91,8 @@
         let referenced = Effect::Referenced { among: Circle::Zone, window: Span::millis(1500) };
         let message_limit = Some(Span::millis(50));
         let offerings = [Effect::Replayable, Effect::SingleUse, referenced];
-        let offerings = offerings.map(|effect| Offering { effect, message_limit }).to_vec();
+        let offerings =
+            offerings.map(|effect| Offering { effect, soft_limit: Some(SOFT_LIMIT), message_limit }).to_vec();
         let pause = Span::millis(1000);
         let chooser = Chooser::new(seed, offerings, 4, pause, Some(MUST_ASK_IN), proxies, warm_up);
         let mut proxy = Proxy { chooser, notes: Notes::default(), now: Point::from_ms(60_000.0), next: 0 };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -426,6 +426,7 @@
     let mut proxy = Proxy::of_four();
     proxy.arrives(plain("first"));
     assert!(proxy.notes.connects[0].2 < PATIENCE);
+    proxy.chooser.stands(CircuitId(1), proxy.now);
     for i in 0..6 {
         let circuit = proxy.arrives(plain(&format!("jam-{i}")));
         proxy.passes(700);
@@ -573,6 +574,55 @@
     assert!(found >= 15, "{found}");
 }
 
+/// How many of sixty, each one of so many proxies, let a client in, so long after a jam behind all servers in which
+/// what was let in stood after such a time.
+fn let_in_after(proxies: usize, stood_after: u64, ms: u64) -> usize {
+    let lets_in = |seed: &u64| {
+        let mut proxy = Proxy::among(proxies, 0.0, *seed, &TWELVE.map(server));
+        for round in 0..15 {
+            let came: Vec<_> = (0..30).map(|i| proxy.arrives(plain(&format!("jam-{round}-{i}")))).collect();
+            proxy.passes(stood_after);
+            came.iter().for_each(|circuit| proxy.chooser.stands(CircuitId(*circuit), proxy.now));
+        }
+        proxy.passes(ms);
+        let connects = proxy.notes.connects.len();
+        proxy.arrives(plain("new"));
+        proxy.notes.connects.len() > connects
+    };
+    (0..60).filter(lets_in).count()
+}
+
+/// A jam of two seconds on a day of three hundred proxies had them turn nearly everybody away for twelve more.
+#[test]
+fn a_jam_is_over_for_proxies_of_few_clients_within_fourteen_seconds_however_many_they_are() {
+    assert!(let_in_after(300, 301, 0) <= 6);
+    assert!((3..40).contains(&let_in_after(300, 301, 8000)), "a few proxies after the other");
+    assert_eq!(let_in_after(300, 301, 14_000), 60);
+    // Three proxies have whole connects of their own to tell by.
+    assert_eq!(let_in_after(3, 301, 0), 60);
+}
+
+#[test]
+fn connects_that_stand_late_are_the_sign_of_a_jam_and_those_in_time_of_none() {
+    assert_eq!(let_in_after(300, 300, 0), 60);
+    // Where there is a jam another server would do no better: a connect waits its client's patience out.
+    let mut proxy = Proxy::among(300, 0.0, 1, &TWELVE.map(server));
+    let wait = |proxy: &mut Proxy| {
+        proxy.arrives(plain("k"));
+        proxy.notes.connects.last().map(|c| c.2)
+    };
+    assert_eq!(wait(&mut proxy), Some(PATIENCE.times(0.5)));
+    wait(&mut proxy);
+    wait(&mut proxy);
+    proxy.passes(301);
+    (1..3).for_each(|circuit| proxy.chooser.stands(CircuitId(circuit), proxy.now));
+    proxy.passes(200);
+    for _ in 4..40 {
+        wait(&mut proxy);
+    }
+    assert_eq!(wait(&mut proxy), Some(PATIENCE));
+}
+
 /// Two clients of one group made a proxy of three hundred spread it over six servers of eighty.
 #[test]
 fn two_of_a_few_clients_do_not_make_a_group_large() {
