--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,11 +147,11 @@
 
     /// How many of so many servers a group needs by its share of the traffic.
     fn width(&self, group: u64, servers: usize) -> usize {
-        // Fewer samples than this, or than there are servers to share among, say little about a share.
+        // Fewer samples than this say little about a share.
         const FEWEST: usize = 16;
         let groups = self.groups.borrow();
         let more = groups.iter().filter(|g| g.1 == group).count().saturating_sub(1);
-        (1 + more * servers / groups.len().max(FEWEST).max(servers)).min(servers)
+        (1 + more * servers / groups.len().max(FEWEST)).min(servers)
     }
 
     /// The wait after which a connect's silence is unusual, given the earlier gaps.
@@ -302,10 +302,10 @@
         filling * USED * self.fall_multiple * present / others
     }
 
-    /// The share of so many servers at which this proxy would hold nothing in a fleet that is full, where the
-    /// settings tell what that is: their strain it cannot see.
-    fn unseen(&self, servers: usize) -> f64 {
-        (-self.part / servers as f64).exp() * f64::from(self.part > 0.0)
+    /// Whether a key is among those, the same at every proxy, that are placed as if no server were in sight: as
+    /// large a part of them as a proxy of this part would hold nothing at, where the settings tell that.
+    fn out_of_sight(&self, key: u64, servers: usize) -> bool {
+        self.part > 0.0 && (key >> 32) as f64 / 2_f64.powi(32) < (-self.part / servers as f64).exp()
     }
 }
 
@@ -344,15 +344,15 @@
         let trusted = |s: &&Rc<Server>| circuit.mid_flow || draw >= s.distrust(now) && !silent(s);
 
         // The ordinary path: the key's hash, and the next in order past what drains, is gone or is overfull.
-        let unseen = circuit.group.map_or(0.0, |_| self.warm_up.unseen(servers.len()));
-        let by_group = circuit.group.filter(|_| !circuit.mid_flow || draw < unseen);
+        let blind = circuit.group.is_some() && self.warm_up.out_of_sight(circuit.key, servers.len());
+        let by_group = circuit.group.filter(|_| !circuit.mid_flow || blind);
         if !circuit.returned || by_group.is_none() {
             let first = circuit.key as usize % servers.len().max(1);
             let own = servers[first..].iter().chain(&servers[..first]).filter(usable).find(|s| !overfull(s));
             // Guards against placing by hash in a fleet that is strained where this proxy cannot see it: the
             // strain seen counts for every server, and twice: at half on the mean all circuits gather.
             const STRAIN_COUNTS: f64 = 2.0;
-            let calm = || draw >= unseen.max(STRAIN_COUNTS * self.shelf.strain(now));
+            let calm = || !blind && draw >= STRAIN_COUNTS * self.shelf.strain(now);
             if own.is_some_and(|s| by_group.is_none() && circuit.mid_flow || trusted(&s) && calm()) {
                 return own.cloned();
             }
@@ -364,16 +364,17 @@
         let there = |s: &&Rc<Server>| usable(s) && (!s.broke.get() || s.open() > 0.0 || trusted(s));
         let mut ranked: Vec<_> = servers.iter().filter(there).map(|s| (s.rank(by), s)).collect();
         ranked.sort_unstable_by_key(|r| r.0);
-        let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()));
-        ranked[..width].sort_unstable_by_key(|r| r.1.rank(circuit.key));
         // Guards against a strained fleet scattering its groups further: past its group's servers a circuit
         // tries two more, enough where a fifth of a fleet is slow, and else is pushed back.
         const MORE: usize = 2;
+        let more = if blind { MORE } else { 0 };
+        let width = by_group.map_or(0, |g| self.shelf.width(g, ranked.len()) + more).min(ranked.len());
+        ranked[..width].sort_unstable_by_key(|r| r.1.rank(circuit.key));
         let order = || ranked.iter().map(|r| r.1).take(width + MORE).filter(trusted);
         // Guards against hundreds of proxies that see no server's strain filling some servers and leaving
         // others empty: whoever first gives a sign of life has least to do.
-        if draw < unseen && !circuit.mid_flow && order().nth(1).is_some() && !circuit.hailed.replace(true) {
-            order().for_each(|s| s.hail(circuit, host));
+        if blind && !circuit.mid_flow && order().nth(1).is_some() && !circuit.hailed.replace(true) {
+            order().take(1 + MORE).for_each(|s| s.hail(circuit, host));
         }
         order().find(|s| !overfull(s)).or_else(|| order().next()).cloned()
     }
@@ -492,7 +493,6 @@
         proxies: usize,
         warm_up: WarmUp,
     ) -> Self {
-        let chance = RefCell::new(WyRand::new_seed(seed));
         let shelf = Rc::new(Shelf {
             servers: RefCell::default(),
             gaps: RefCell::default(),
@@ -501,7 +501,7 @@
             window: Cell::default(),
             most_connects,
             seed,
-            chance,
+            chance: RefCell::new(WyRand::new_seed(seed)),
         });
         let message_limit = offerings.iter().filter_map(|o| o.message_limit).min();
         Chooser {
