The decision module becomes a folder of stages and judgements; stories split by subject

Each file under src/choice is named for what it decides; what decides nothing (reading an arrival or a line of the list into a record, keeping samples) went to src/record.rs.

The 53 and 29 stories are the same ones.

--- /dev/null
+++ b/crates/proxy/tests/sockets/main.rs
@@ -0,0 +1,9 @@
+//! Stories of the program on sockets, one for each thing that could go wrong there.
+
+mod life;
+mod listing;
+mod migration;
+mod moving;
+mod passing;
+mod peers;
+mod stand;
--- /dev/null
+++ b/crates/proxy/tests/sockets/peers.rs
@@ -0,0 +1,104 @@
+//! Stories of peers that do not keep to the protocol.
+
+use crate::stand::{within, Place, Program, Terms, Wire, LONG, USUAL};
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_bad_or_endless_line_costs_its_own_connection_alone() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let (mut client, mut at_server) = program.settles(&server);
+    let good = "OPEN 0123456789abcdef lift-9 c=alarm,d=3000\r\n";
+    let bad = [
+        "OPEN what\r\n".to_owned(),
+        good.replace("c=alarm", "c=alarm2"),
+        good.replace("\r\n", "\n"),
+        // Hundreds of commands at once, the first of them in order.
+        good.repeat(300),
+        "PING\r\n".repeat(300),
+        // A line without end, far longer than is ever read.
+        "x".repeat(60 << 20),
+    ];
+    for bytes in bad {
+        let mut client = program.client();
+        assert!(client.is_refused(bytes.as_bytes()), "{:.60}", bytes);
+        assert!(["", "reset"].contains(&&*client.line()), "closed at once: {:.60}", bytes);
+    }
+    let mut half = program.client();
+    half.say("OPEN 0123456789abcdef lif").finish();
+    assert_eq!(half.line(), "");
+    let (mut other, mut its_server) = program.settles(&server);
+    its_server.say(&"y".repeat(5000));
+    within(LONG, || other.line().is_empty().then_some(()));
+    client.say("M 1\r\n");
+    assert_eq!(at_server.line(), "M 1");
+    at_server.say("M 1\r\n");
+    assert_eq!(client.line(), "M 1");
+    assert!(server.try_accept().is_none(), "nothing bad was sent on");
+    let log = program.ends();
+    assert!(log.contains("bad first lines 3") && log.contains("more than a first line 2"), "{log}");
+    assert!(log.lines().count() < 12, "bad peers do not fill the log: {log}");
+}
+
+#[test]
+fn the_id_of_another_circuit_is_refused_while_that_is_open_and_after_it_was_pushed_back() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let line = "OPEN 0123456789abcdef lift-1 c=alarm,d=3000\r\n";
+    let mut client = program.client();
+    client.say(line);
+    let mut at_server = server.accept();
+    assert!(at_server.line().starts_with("OPEN"));
+    assert!(program.client().is_refused(line.as_bytes()), "it waits");
+    at_server.say("BUSY\r\n");
+    assert!(client.line().starts_with("BUSY"), "no other server");
+    assert!(program.client().is_refused(line.as_bytes()), "its client is about to come again");
+    assert!(server.try_accept().is_none());
+    assert!(program.ends().contains("ids in use 2"));
+}
+
+#[test]
+fn pings_are_answered_until_the_first_line_comes_and_nothing_may_follow_that() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let mut client = program.client();
+    assert_eq!(client.say("PING\r\n").line(), "PONG");
+    assert_eq!(client.say("PING\r\n").line(), "PONG");
+    client.say("OPEN 9b1f03aa5c7e2d41 lift-1 c=alarm,d=3000\r\n");
+    let mut at_server = server.accept();
+    assert!(at_server.line().starts_with("OPEN"));
+    assert_eq!(client.say("EARLY\r\n").line(), "ERR");
+    assert_eq!((client.line(), at_server.line()), ("".into(), "".into()));
+}
+
+#[test]
+fn who_says_nothing_is_put_out_in_time_and_sooner_where_others_need_the_room() {
+    let server = Place::new("s1");
+    let program = Program::start(Terms { sockets: 96, ..USUAL }, &[&server]);
+    let before = program.descriptors();
+    let began = Instant::now();
+    let mut silent: Vec<_> = (0..120).map(|_| program.client()).collect();
+    // The first had to make room for the last, and a client that speaks is served among them.
+    assert_eq!(silent[0].line(), "BUSY");
+    let _sides = program.settles(&server);
+    assert!(program.descriptors() <= before + 96 / 4 + 2, "a quarter at most, and the two sides");
+    assert_eq!(silent.last_mut().map(Wire::line).as_deref(), Some("ERR"));
+    assert!(began.elapsed() < Duration::from_secs(3));
+    assert!(program.descriptors() <= before + 3, "discovery, and the two sides");
+}
+
+#[test]
+fn out_of_descriptors_it_pushes_back_and_recovers_and_none_leaks() {
+    let server = Place::new("s1");
+    let program = Program::start(Terms { sockets: 48, ..USUAL }, &[&server]);
+    let before = program.descriptors();
+    // Two for each, three kept for callers, one for a probe, and 24.
+    let standing: Vec<_> = (0..10).map(|_| program.settles(&server)).collect();
+    let mut one_more = program.opens("lift-9", ",d=3000");
+    assert_eq!((one_more.line(), one_more.line()), ("BUSY".into(), "".into()));
+    drop(standing);
+    within(LONG, || (program.descriptors() <= before).then_some(()));
+    let _sides = program.settles(&server);
+    let log = program.ends();
+    assert!(log.contains("pushed back for want of descriptors 1"), "{log}");
+}
--- /dev/null
+++ b/src/choice/mod.rs
@@ -0,0 +1,240 @@
+//! All decisions of the balancer.
+//!
+//! Make a [`Chooser`], call [`Chooser::start`] with the list last held, then one method for each thing that
+//! happens, with the present [`Point`] and the [`Host`] that at once carries out what is decided (`host.rs`).
+//! The design: a new circuit goes to hash(client key) modulo the id-sorted server list; a draining, gone or
+//! overfull pick passes to the next in order; an aged table answers mid-flow circuits. See `docs/design.md`.
+//! Mechanisms beside the design, six at most:
+//! 1. warm-up budget: a server that just started gets only its share of what it can bear;
+//! 2. distrust: a fading score from bad endings and lateness; where nothing is held, that of zone and kind;
+//! 3. silence: a connect is given up, and its server passed over, when the silence has become unusual;
+//! 4. gathering: what comes back, or finds its pick or the fleet strained or out of sight, joins its group;
+//! 5. relief: a server that is late so has connections sent away, first those that are not with their group;
+//! 6. pacing: failed connects narrow how many may be out at once.
+//!
+//! A circuit passes `Recall`, `Pacing`, `Placement` and `Dispatch`; news of its connects comes in reverse.
+
+mod again;
+mod cold;
+mod dispatch;
+mod gathering;
+mod pacing;
+mod placement;
+mod recall;
+mod relief;
+mod trust;
+
+use crate::host::{Arrival, CircuitId, Ending, Host, Listed, Offering};
+pub use crate::record::WarmUp;
+use crate::record::{Circuit, Connect, Server, Shelf};
+use crate::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+
+/// What a stage did with a circuit: passed it on, kept it, or ended it.
+enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+/// The server that the stages have settled on for the next connect.
+type Pick = Option<Rc<Server>>;
+
+trait Stage {
+    fn forth(&mut self, circuit: &Rc<Circuit>, pick: &mut Pick, now: Point, host: &mut dyn Host) -> Step;
+    /// The news of the circuit's last connect: none when its connection stands, else how it ended.
+    fn back(&mut self, _circuit: &Rc<Circuit>, _connect: &Connect, _now: Point) {}
+}
+
+/// The decisions of one proxy.
+pub struct Chooser {
+    offerings: Vec<Offering>,
+    /// The most delicate offering's, as any may be held by a server; no sign of life in this time is strain.
+    message_limit: Span,
+    most_pause: Span,
+    shelf: Rc<Shelf>,
+    /// Where the list must be asked for: how long a proxy may go without asking.
+    must_ask_in: Option<Span>,
+    asks_at: Option<Point>,
+    list_failures: u32,
+    /// When to look round next, and whether that probes.
+    looks_at: Option<(Point, bool)>,
+    /// Circuits that wait for a sign of life, and until when.
+    hailing: Vec<(Point, Weak<Circuit>)>,
+    stages: [Box<dyn Stage>; 4],
+    /// The door: every circuit unanswered, standing or with a connect still out.
+    circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+}
+
+impl Chooser {
+    /// `most_pause`: the longest wait a client keeps to. `must_ask_in`: none where the list comes unasked.
+    pub fn new(
+        seed: u64,
+        offerings: Vec<Offering>,
+        most_connects: usize,
+        most_pause: Span,
+        must_ask_in: Option<Span>,
+        warm_up: WarmUp,
+    ) -> Self {
+        let shelf = Rc::new(Shelf::new(most_connects, seed, warm_up.proxies));
+        let message_limits = offerings.iter().filter_map(|o| o.message_limit);
+        let message_limit = message_limits.min().unwrap_or(Span::millis(100));
+        Chooser {
+            message_limit,
+            offerings,
+            most_pause,
+            must_ask_in,
+            asks_at: None,
+            list_failures: 0,
+            looks_at: None,
+            hailing: Vec::new(),
+            stages: [
+                Box::new(recall::Recall::default()),
+                Box::new(pacing::Pacing::new(shelf.clone())),
+                Box::new(placement::Placement { shelf: shelf.clone(), warm_up }),
+                Box::new(dispatch::Dispatch { shelf: shelf.clone() }),
+            ],
+            shelf,
+            circuits: BTreeMap::new(),
+        }
+    }
+
+    pub fn start(&mut self, last_held: &[Listed], now: Point, host: &mut dyn Host) {
+        self.listed(last_held, true, now);
+        self.ask_later(now, host);
+    }
+
+    /// Lines of the server list; a server absent from a `whole` list is gone.
+    pub fn listed(&mut self, lines: &[Listed], whole: bool, now: Point) {
+        self.list_failures = 0;
+        self.shelf.follow(lines, whole, now);
+        self.shelf.set_half_lives();
+    }
+
+    /// Another service gives the list from now on: it is asked at once, whatever the old one's failures.
+    pub fn list_moved(&mut self, host: &mut dyn Host) {
+        self.list_failures = 0;
+        host.subscribe();
+    }
+
+    /// A call for the list has failed, or the subscription has broken.
+    pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
+        self.list_failures += 1;
+        self.ask_later(now, host);
+    }
+
+    /// The time has come that the host was asked to wake this proxy at.
+    pub fn woke(&mut self, now: Point, host: &mut dyn Host) {
+        if self.asks_at.take_if(|at| *at <= now).is_some() {
+            host.subscribe();
+        }
+        if let Some((_, probing)) = self.looks_at.take_if(|looks| looks.0 <= now) {
+            self.look_round(probing, now, host);
+        }
+        let due: Vec<_> = self.hailing.extract_if(.., |h| h.0 <= now).collect();
+        for circuit in due.iter().filter_map(|h| h.1.upgrade()).filter(|c| c.hails.take()) {
+            self.offer(&circuit, None, now, host);
+        }
+    }
+
+    pub fn arrived(&mut self, arrival: &Arrival, now: Point, host: &mut dyn Host) {
+        let circuit = self.enter(arrival);
+        self.shelf.note_arrival(now);
+        self.offer(&circuit, None, now, host);
+    }
+
+    /// A connection that was already open when this proxy started; connect 0 counts as made.
+    pub fn open_already(&mut self, arrival: &Arrival, server: &str, now: Point) {
+        let Some(server) = self.shelf.find(server) else { return };
+        let circuit = self.enter(arrival);
+        circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
+        self.bring_back(&circuit, None, now);
+    }
+
+    /// The circuit's connection is established.
+    pub fn stands(&mut self, circuit: CircuitId, now: Point) {
+        self.circuits.get(&circuit).cloned().into_iter().for_each(|c| self.bring_back(&c, None, now));
+    }
+
+    /// A connect has ended; `done` where the client has its final answer by now.
+    pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool, now: Point, host: &mut dyn Host) {
+        let Some(circuit) = self.circuits.get(&circuit).cloned() else { return };
+        let over = done || circuit.stands.get() || circuit.answered.get();
+        self.bring_back(&circuit, Some(ending), now);
+        if over {
+            self.circuits.remove(&circuit.id);
+        } else {
+            self.offer(&circuit, None, now, host);
+        }
+    }
+
+    /// The load of a standing connection, in work a second.
+    pub fn load_is(&mut self, circuit: CircuitId, load: f64) {
+        self.circuits.get(&circuit).inspect(|c| c.load.set(load));
+    }
+
+    /// The client has left; nothing more may be sent for the circuit.
+    pub fn left(&mut self, circuit: CircuitId) {
+        // Guards against a sign of life sending on what nobody waits for: no connect's end will remove it.
+        if self.circuits.get(&circuit).inspect(|c| c.answered.set(true)).is_some_and(|c| c.hails.take()) {
+            self.circuits.remove(&circuit);
+        }
+    }
+
+    /// Guards against all proxies asking in step, after a start or a failed call: what the list's service
+    /// cannot work through in time is given up, but still worked through, before what is asked then.
+    fn ask_later(&mut self, now: Point, host: &mut dyn Host) {
+        const LEAST: Span = Span::millis(200);
+        // Of 40 and 80 ms a hundred proxies did as well with either; three ask about as they always did.
+        const EACH: Span = Span::millis(40);
+        let Some(must_ask_in) = self.must_ask_in else { return };
+        let spread = EACH.times(self.shelf.proxies * f64::from(1u32 << self.list_failures.min(8)));
+        let pause = LEAST + spread.min(must_ask_in.times(0.8)).times(self.shelf.luck());
+        self.asks_at = Some(now + pause);
+        host.wake(now + pause);
+    }
+
+    fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
+        let offering = arrival.offering.and_then(|o| self.offerings.get(o));
+        let circuit = Rc::new(Circuit::arriving(arrival, offering));
+        self.shelf.note_group(&circuit);
+        self.circuits.insert(arrival.circuit, circuit.clone());
+        circuit
+    }
+
+    /// Runs a circuit through the chain; what the chain does not keep gets its final answer at once.
+    fn offer(&mut self, circuit: &Rc<Circuit>, mut pick: Pick, now: Point, host: &mut dyn Host) {
+        for stage in &mut self.stages {
+            match stage.forth(circuit, &mut pick, now, host) {
+                Step::Pass => continue,
+                Step::Keep if circuit.hails.get() => {
+                    // Guards against a circuit held by servers that give no sign.
+                    let until = now + self.message_limit.min(circuit.patience_ends.since(now).times(0.5));
+                    self.hailing.push((until, Rc::downgrade(circuit)));
+                    return host.wake(until);
+                }
+                Step::Keep => return,
+                Step::End => break,
+            }
+        }
+        self.circuits.remove(&circuit.id);
+        if circuit.may_push_back() {
+            host.push_back(circuit.id, self.most_pause.times(0.5 + 0.5 * self.shelf.luck()));
+        } else {
+            host.forfeit(circuit.id);
+        }
+    }
+
+    fn bring_back(&mut self, circuit: &Rc<Circuit>, ending: Option<Ending>, now: Point) {
+        let mut connects = circuit.connects.borrow_mut();
+        let Some(connect) = connects.last_mut() else { return };
+        // Guards against a circuit that no server can use costing all of them their trust: one error counts.
+        let again = ending == Some(Ending::Errored) && circuit.errored.replace(true);
+        connect.ending = if again { Some(Ending::CalledOff) } else { ending };
+        for stage in self.stages.iter_mut().rev() {
+            stage.back(circuit, connect, now);
+        }
+        circuit.stands.set(ending.is_none());
+    }
+}
--- /dev/null
+++ b/src/choice/pacing.rs
@@ -0,0 +1,68 @@
+//! How many connects may be out at once.
+
+use super::{Pick, Stage, Step};
+use crate::host::{Ending, Host};
+use crate::record::{Circuit, Connect, Shelf};
+use crate::time::Point;
+use std::rc::Rc;
+
+impl Shelf {
+    /// How many connects may be out now. Guards against a jam being long over before a proxy of few clients
+    /// hears of it: a part of one doubles by itself.
+    pub(super) fn window(&self, now: Point) -> f64 {
+        let (window, at) = self.window.get();
+        (window * 2_f64.powf(now.since(at).over(Shelf::JUST_BEFORE))).min(window.max(1.0))
+    }
+
+    /// Whether one more connect may go out; a part of one is a chance of that size.
+    pub(super) fn has_turn(&self, now: Point) -> bool {
+        let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
+        f64::from(out) + self.luck() < self.window(now)
+    }
+}
+
+/// Second stage: keeps to as many connects at once as something that all servers share can bear.
+pub(super) struct Pacing {
+    shelf: Rc<Shelf>,
+    widest: f64,
+    narrowest: f64,
+}
+
+impl Pacing {
+    /// Guards against a window that never closes where many proxies have one connect out each: its bounds are
+    /// this proxy's part of what the fleet may have out.
+    pub(super) fn new(shelf: Rc<Shelf>) -> Self {
+        // Of all three proxies of a small fleet: more than are out in a calm minute, and four halvings less.
+        const BOUNDS: [f64; 2] = [48.0, 3.0];
+        // Two clients that come together are no jam.
+        const LEAST: f64 = 2.0;
+        let [widest, narrowest] =
+            [(BOUNDS[0] / shelf.proxies).max(LEAST), (BOUNDS[1] / shelf.proxies).min(1.0)];
+        shelf.window.set((widest, Point::default()));
+        Pacing { shelf, widest, narrowest }
+    }
+}
+
+impl Stage for Pacing {
+    fn forth(&mut self, circuit: &Rc<Circuit>, _: &mut Pick, now: Point, _: &mut dyn Host) -> Step {
+        let may = circuit.connects.borrow().len() < self.shelf.most_connects && now < circuit.patience_ends;
+        // Guards against a storm of tries that keeps a jam alive.
+        let turn = may && (circuit.mid_flow || circuit.hailed.get() || self.shelf.has_turn(now));
+        Some(Step::Pass).filter(|_| turn).unwrap_or(Step::End)
+    }
+
+    /// Halves the window where a jam may have failed a connect or had it stand late; widens it by one where
+    /// a whole one stood in time, or by as much again where it is a part of one.
+    fn back(&mut self, circuit: &Rc<Circuit>, connect: &Connect, now: Point) {
+        let (window, took) = (self.shelf.window(now), now.since(connect.sent));
+        let window = match connect.ending {
+            _ if circuit.stands.get() || circuit.mid_flow => return,
+            None if circuit.soft_limit.is_none_or(|l| took <= l) => {
+                (window + window.min(1.0 / window)).min(self.widest)
+            }
+            None | Some(Ending::TimedOut | Ending::Errored) => (window * 0.5).max(self.narrowest),
+            _ => return,
+        };
+        self.shelf.window.set((window, now));
+    }
+}
--- a/src/record.rs
+++ b/src/record.rs
@@ -1,11 +1,12 @@
-//! What a proxy keeps of servers and circuits: plain records, on which `choice.rs` decides.
+//! What a proxy keeps of servers and circuits: plain records, on which `choice` decides.
 
-use crate::host::{CircuitId, Effect, Ending, ServerId, Standing};
+use crate::host::{Arrival, CircuitId, Effect, Ending, Listed, Offering, ServerId, Standing};
 use crate::time::{Point, Span};
-use nanorand::WyRand;
+use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A server as this proxy knows it.
 #[derive(Default)]
@@ -67,6 +68,105 @@
             chance: RefCell::new(WyRand::new_seed(seed)),
         }
     }
+
+    // As long as it takes a crowd of clients to come back.
+    pub(crate) const JUST_BEFORE: Span = Span::millis(2000);
+
+    /// How many circuits came just now, the last one included.
+    pub(crate) fn crowd(&self, now: Point) -> f64 {
+        let mut arrivals = self.arrivals.borrow_mut();
+        let past = arrivals.partition_point(|at| now.since(*at) > Self::JUST_BEFORE);
+        arrivals.drain(..past);
+        arrivals.len().max(1) as f64
+    }
+
+    /// From 0 to 1, any as likely as the next.
+    pub(crate) fn luck(&self) -> f64 {
+        f64::from(self.chance.borrow_mut().generate::<f32>())
+    }
+
+    pub(crate) fn find(&self, id: &str) -> Option<Rc<Server>> {
+        let servers = self.servers.borrow();
+        servers.binary_search_by(|s| s.id.as_ref().cmp(id)).ok().map(|i| servers[i].clone())
+    }
+
+    /// Takes in lines of the list; who is absent from a `whole` one is gone, and what is gone is forgotten.
+    pub(crate) fn follow(&self, lines: &[Listed], whole: bool, now: Point) {
+        for line in lines {
+            let server = self.find(&line.server).unwrap_or_else(|| {
+                let server = Rc::new(Server::named(line));
+                let mut servers = self.servers.borrow_mut();
+                let place = servers.partition_point(|s| s.id < server.id);
+                servers.insert(place, server.clone());
+                server
+            });
+            if line.started > server.started.get() {
+                server.started.set(line.started);
+                server.distrust.set((0.0, now));
+            }
+            server.standing.set(line.standing);
+        }
+        let mut servers = self.servers.borrow_mut();
+        if whole {
+            let absent = |s: &&Rc<Server>| !lines.iter().any(|l| l.server == s.id);
+            servers.iter().filter(absent).for_each(|s| s.standing.set(Standing::Gone));
+        }
+        servers.retain(|s| s.standing.get() != Standing::Gone);
+    }
+
+    pub(crate) fn note_arrival(&self, now: Point) {
+        // Far more than come just before another one where a proxy still keeps up.
+        const SAMPLES: usize = 4096;
+        keep_last(SAMPLES, now, &mut self.arrivals.borrow_mut());
+    }
+
+    /// Keeps how long a connect took to stand.
+    pub(crate) fn note_gap(&self, took: Span) {
+        // Enough for a mean, few enough to forget a bad minute.
+        const SAMPLES: usize = 16;
+        keep_last(SAMPLES, took, &mut self.gaps.borrow_mut());
+    }
+
+    /// Keeps a circuit's key and group, once for each key.
+    pub(crate) fn note_group(&self, circuit: &Circuit) {
+        // Enough to tell a tenth from a twentieth, in some seconds of one proxy's traffic.
+        const SAMPLES: usize = 128;
+        let mut groups = self.groups.borrow_mut();
+        if let Some(group) = circuit.group.filter(|_| !groups.iter().any(|g| g.0 == circuit.key)) {
+            keep_last(SAMPLES, (circuit.key, group), &mut groups);
+        }
+    }
+}
+
+impl Server {
+    fn named(line: &Listed) -> Self {
+        Server {
+            id: line.server.clone(),
+            hash: xxh3_64(line.server.as_bytes()),
+            kin: [xxh3_64(line.zone.as_bytes()), !xxh3_64(line.kind.as_bytes())],
+            cell: line.cell,
+            ..Server::default()
+        }
+    }
+
+    /// Connections that this proxy has here, standing or under way.
+    pub(crate) fn open(&self) -> f64 {
+        self.held.borrow().len() as f64 + f64::from(self.waiting.get())
+    }
+
+    /// Keeps how long a probe took; how many times as long as its quickest.
+    pub(crate) fn slower(&self, took: Span) -> f64 {
+        // Longer than strain is let last; a freak answer sets the quickest no longer than that.
+        const SAMPLES: usize = 32;
+        let mut answers = self.answers.borrow_mut();
+        keep_last(SAMPLES, took, &mut answers);
+        answers.iter().min().map_or(1.0, |quickest| took.over(*quickest))
+    }
+}
+
+fn keep_last<T>(most: usize, sample: T, samples: &mut VecDeque<T>) {
+    samples.push_back(sample);
+    samples.drain(..samples.len().saturating_sub(most));
 }
 
 /// What servers can bear, a starting one above all, and how many proxies share it.
@@ -111,3 +211,20 @@
     pub(crate) load: Cell<f64>,
     pub(crate) connects: RefCell<Vec<Connect>>,
 }
+
+impl Circuit {
+    /// As it arrives; an offering never heard of is treated as the most delicate kind.
+    pub(crate) fn arriving(arrival: &Arrival, offering: Option<&Offering>) -> Self {
+        Circuit {
+            id: arrival.circuit,
+            key: arrival.key.map_or(arrival.circuit.0, |k| xxh3_64(k.as_bytes())),
+            group: arrival.group.map(|g| xxh3_64(g.as_bytes())),
+            effect: offering.map(|o| o.effect).unwrap_or_default(),
+            soft_limit: offering.and_then(|o| o.soft_limit),
+            patience_ends: arrival.patience_ends,
+            mid_flow: arrival.mid_flow,
+            returned: arrival.returned,
+            ..Circuit::default()
+        }
+    }
+}
--- /dev/null
+++ b/tests/stories/cold.rs
@@ -0,0 +1,176 @@
+//! Stories of servers that have just started.
+
+use crate::fake::*;
+use shelfgrade::host::*;
+
+#[test]
+fn a_cold_server_gets_little_until_it_is_warm() {
+    let (mut while_cold, mut when_warm) = (0, 0);
+    for seed in 0..10 {
+        let mut proxy = Proxy::seeded(seed, &["a1", "a2", "b1", "b2"].map(server));
+        (0..40).for_each(|i| drop(proxy.settles(plain(&format!("early-{i}")))));
+        let cold = Listed { started: Some(proxy.now), ..server("a3") };
+        proxy.chooser.listed(&[cold], false, proxy.now);
+        let storm = |proxy: &mut Proxy, name: &str| {
+            let before = proxy.notes.connects.len();
+            (0..100).for_each(|i| drop(proxy.settles(plain(&format!("{name}-{seed}-{i}")))));
+            proxy.notes.connects[before..].iter().filter(|(_, place, _)| place == "a3").count()
+        };
+        while_cold += storm(&mut proxy, "storm");
+        proxy.passes(8000);
+        when_warm += storm(&mut proxy, "warm");
+    }
+    // A fifth would be 200.
+    assert!(while_cold <= 60 && when_warm > 100, "{while_cold} {when_warm}");
+}
+
+#[test]
+fn any_number_of_proxies_together_send_a_cold_server_its_share() {
+    let mut sent = Vec::new();
+    for proxies in [4, 40] {
+        let mut total = 0;
+        for seed in 0..proxies {
+            let mut proxy = Proxy::among(proxies as usize, None, seed, &TWELVE.map(server));
+            // A fleet of twelve that holds 240.
+            (0..240 / proxies).for_each(|i| drop(proxy.settles(plain(&format!("early-{seed}-{i}")))));
+            proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a7") }], false, proxy.now);
+            let before = proxy.notes.connects.len();
+            for i in 0..400 {
+                proxy.arrives(plain(&format!("storm-{seed}-{i}")));
+                let circuit = CircuitId(240 / proxies + 1 + i);
+                proxy.chooser.left(circuit);
+                proxy.chooser.stands(circuit, proxy.now);
+                proxy.chooser.ended(circuit, Ending::Finished, true, proxy.now, &mut proxy.notes);
+                proxy.passes(20);
+            }
+            total += proxy.notes.connects[before..].iter().filter(|(_, place, _)| place == "a7").count();
+        }
+        sent.push(total);
+    }
+    // A warm server holds 18: the bound lets in about half of three times that, more or less as it warms.
+    assert!(sent.iter().all(|n| (6..=36).contains(n)), "{sent:?}");
+}
+
+#[test]
+fn of_a_hundred_proxies_that_see_next_to_nothing_a_cold_server_gets_its_part() {
+    // Every proxy holds one connection when a server comes back cold, and then sees so many clients at once.
+    let sent = |part: Option<f64>, clients: u64| {
+        let of_one = |seed: u64| {
+            let mut proxy = Proxy::among(100, part, seed, &TWELVE.map(server));
+            proxy.settles(plain(&format!("early-{seed}")));
+            proxy.passes(5000);
+            proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a7") }], false, proxy.now);
+            for i in 0..clients {
+                proxy.arrives(plain(&format!("back-{seed}-{i}")));
+            }
+            proxy.shares().get("a7").copied().unwrap_or(0)
+        };
+        (0..100).map(of_one).sum::<usize>()
+    };
+    // One each is little: all that come by the hash are let in, where a budget saved up alone let in none.
+    let calm = sent(None, 1);
+    assert!((4..=14).contains(&calm), "{calm}");
+    // Five each are a storm: a thirteenth would be 38.
+    let storm = sent(None, 5);
+    assert!((4..=25).contains(&storm), "{storm}");
+    // Where the settings say that the servers can hold three times what they do, more of the storm is let in.
+    let told = sent(Some(10.8), 5);
+    assert!((storm + 3..=38).contains(&told), "{told} beside {storm}");
+}
+
+/// Of thin proxies each let its first client in anywhere, as nobody had come just before: a cold server of a lost zone
+/// was sent 5.4 times what it could do, mostly mid-flow connections that it did not hold.
+#[test]
+fn proxies_that_see_one_client_each_keep_a_cold_server_within_its_part_together() {
+    let list: Vec<_> = (0..20).map(|i| server(&format!("a{i:02}"))).collect();
+    let group = |i: usize| format!("g{}", i % 20);
+    let sent = |mid_flow: bool| {
+        let place_of = |i: usize| {
+            let mut proxy = Proxy::among(600, None, i as u64, &list);
+            proxy.notes.mute = true;
+            let cold: Vec<_> =
+                list.iter().map(|l| Listed { started: Some(proxy.now), ..l.clone() }).take(10).collect();
+            proxy.chooser.listed(&cold, false, proxy.now);
+            let (key, group) = (format!("key{i}"), group(i));
+            let came = proxy.arrives(Arrival { group: Some(&group), mid_flow, ..plain(&key) });
+            proxy.sent_to(came).first().cloned()
+        };
+        let places: Vec<_> = (0..600).filter_map(place_of).collect();
+        places.iter().filter(|place| place.as_str() < "a10").count()
+    };
+    // Half of what ten servers of thirty connections take in two seconds of eight, at three times three tenths of that, is
+    // 34; without a bound it would be 300.
+    let (new, mid_flow) = (sent(false), sent(true));
+    assert!((20..=50).contains(&new) && (20..=50).contains(&mid_flow), "{new} {mid_flow}");
+}
+
+/// During a move some proxies know of few fellows and of what customers may have open, others of many and of no bound.
+#[test]
+fn old_and_new_proxies_before_the_same_servers_keep_a_cold_one_within_its_bound_and_both_get_in() {
+    let sent = |old: usize, new: usize| {
+        let of_one = |i: usize| {
+            let told = if i < old { (3, Some(40.0)) } else { (60, None) };
+            let mut proxy = Proxy::among(told.0, told.1, i as u64, &TWELVE.map(server));
+            proxy.notes.mute = i >= old;
+            proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a1") }], false, proxy.now);
+            // As many come to the three as to the sixty, a third of what all can hold in half a second.
+            let clients = if i < old { 20 } else { 1 };
+            let place = |c| {
+                let (key, group) = (format!("key{i}-{c}"), format!("g{}", (i + c) % 24));
+                proxy.settles(Arrival { group: Some(&group), ..plain(&key) })
+            };
+            (0..clients).filter_map(place).collect::<Vec<_>>()
+        };
+        let places: Vec<_> = (0..old + new).flat_map(of_one).collect();
+        (places.len(), places.iter().filter(|place| *place == "a1").count())
+    };
+    let (old, new, both) = (sent(3, 0), sent(0, 60), sent(3, 60));
+    // Thirty connections fill it over eight seconds, 7.5 in two; at three times three tenths of that and rising, nine push
+    // it over. Nobody held back, ten would come.
+    assert!(both.1 < 9, "{old:?} {new:?} {both:?}");
+    assert!(old.0 >= 55 && new.0 >= 55, "{old:?} {new:?}");
+}
+
+/// A group of some forty came back in a wave from a strained server to a cold one: 6.2 times what it could do in two seconds.
+#[test]
+fn a_group_that_comes_back_in_a_wave_is_let_into_a_cold_server_less_than_new_clients_are() {
+    let sent = |returned: bool| {
+        let of_one = |seed: u64| {
+            let mut proxy = Proxy::among(100, None, seed, &TWELVE.map(server));
+            proxy.notes.mute = true;
+            let cold: Vec<_> =
+                TWELVE.iter().map(|place| Listed { started: Some(proxy.now), ..server(place) }).collect();
+            proxy.chooser.listed(&cold, false, proxy.now);
+            // By then the share of one client at a time has no bound.
+            proxy.passes(6000);
+            let key = format!("key{seed}");
+            let came = proxy.arrives(Arrival { group: Some("g"), returned, ..plain(&key) });
+            proxy.sent_to(came).len()
+        };
+        (0..300).map(of_one).sum::<usize>()
+    };
+    let (new, wave) = (sent(false), sent(true));
+    assert!(new > 200 && wave < new / 2, "{wave} beside {new}");
+}
+
+/// One draw let into a cold server if it was low, and past all that is distrusted: who was let in met at the cold servers
+/// alone, and one was sent 7.4 times what it could do.
+#[test]
+fn who_is_let_into_a_cold_server_is_not_who_passes_over_all_that_are_distrusted() {
+    let sent = |strained: u64| {
+        let of_one = |seed: u64| {
+            let mut proxy = Proxy::among(100, None, seed, &TWELVE.map(server));
+            proxy.notes.mute = true;
+            proxy.chooser.listed(&[Listed { started: Some(proxy.now), ..server("a1") }], false, proxy.now);
+            TWELVE[1..].iter().for_each(|place| proxy.strains(&[place], strained));
+            // Four came just before, so that one in four is let in.
+            (0..4).for_each(|i| drop(proxy.settles(plain(&format!("just-before-{seed}-{i}")))));
+            let key = format!("key{seed}");
+            let came = proxy.arrives(Arrival { group: Some(&key), returned: true, ..plain(&key) });
+            usize::from(proxy.sent_to(came).first().is_some_and(|place| place == "a1"))
+        };
+        (0..800).map(of_one).sum::<usize>()
+    };
+    let (calm, strained) = (sent(1), sent(35));
+    assert!(calm > 10 && strained < 2 * calm, "{strained} beside {calm}");
+}
--- a/tests/fake/mod.rs
+++ b/tests/stories/fake.rs
@@ -209,3 +209,20 @@
         shares
     }
 }
+
+/// A client key whose circuits go to `place` in an untroubled proxy of four.
+pub fn key_for(place: &str) -> String {
+    let lands = |key: &String| Proxy::of_four().settles(plain(key)).as_deref() == Some(place);
+    (0..).map(|i| format!("key-{i}")).find(lands).expect("some key")
+}
+
+/// Where a circuit of the group goes that came back.
+pub fn home(proxy: &mut Proxy, group: &str) -> Option<String> {
+    proxy.settles(Arrival { group: Some(group), returned: true, ..plain("k") })
+}
+
+/// One of three hundred proxies, whose servers can hold 2,400 connections as far as the settings tell.
+pub fn one_of_many(seed: u64) -> Proxy {
+    let list: Vec<_> = (0..80).map(|i| server(&format!("a{i:02}"))).collect();
+    Proxy::among(300, Some(8.0), seed, &list)
+}
--- /dev/null
+++ b/tests/stories/jams.rs
@@ -0,0 +1,98 @@
+//! Stories of jams behind all servers.
+
+use crate::fake::*;
+use shelfgrade::host::*;
+
+#[test]
+fn a_jam_slows_a_hundred_proxies_that_have_one_client_each() {
+    // Whatever is sent ends in an error, and the client comes straight back, as a new circuit each time.
+    let sent_in_a_second_of_the_jam = |seed: u64| {
+        let mut proxy =
+            Proxy::among(100, None, seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &TWELVE.map(server));
+        let mut before = 0;
+        for i in 0..40 {
+            if i == 30 {
+                before = proxy.notes.connects.len();
+            }
+            let key = format!("lift-{i}");
+            let circuit = proxy.arrives(Arrival { returned: true, ..plain(&key) });
+            // As long as it is sent somewhere else.
+            for tried in 1..=4 {
+                if proxy.sent_to(circuit).len() == tried {
+                    proxy.ends(circuit, Ending::Errored);
+                }
+            }
+            proxy.passes(100);
+        }
+        proxy.notes.connects.len() - before
+    };
+    let sent: usize = (0..100).map(sent_in_a_second_of_the_jam).sum();
+    assert!((1..=150).contains(&sent), "{sent} of a thousand circuits, with up to four connects each");
+}
+
+#[test]
+fn a_jam_behind_all_servers_is_paced_and_nobody_is_held() {
+    let mut proxy = Proxy::with(&["a1", "a2", "a3", "b1", "b2", "b3"].map(server));
+    for i in 0..6 {
+        let circuit = proxy.arrives(plain(&format!("jam-{i}")));
+        for _ in 0..4 {
+            proxy.ends(circuit, Ending::Errored);
+        }
+    }
+    let (sent, pushed) = (proxy.notes.connects.len(), proxy.notes.pushed_back.len());
+    for i in 0..50 {
+        proxy.arrives(plain(&format!("storm-{i}")));
+    }
+    let went = proxy.notes.connects.len() - sent;
+    assert!(went <= 1, "no storm: {went}");
+    assert_eq!(proxy.notes.pushed_back.len() - pushed, 50 - went, "all others are answered at once");
+}
+
+/// How many of sixty, each one of so many proxies, let a client in, so long after a jam behind all servers in which
+/// what was let in stood after such a time.
+fn let_in_after(proxies: usize, stood_after: u64, ms: u64) -> usize {
+    let lets_in = |seed: &u64| {
+        let mut proxy = Proxy::among(proxies, None, *seed, &TWELVE.map(server));
+        for round in 0..15 {
+            let came: Vec<_> = (0..30).map(|i| proxy.arrives(plain(&format!("jam-{round}-{i}")))).collect();
+            proxy.passes(stood_after);
+            came.iter().for_each(|circuit| proxy.chooser.stands(CircuitId(*circuit), proxy.now));
+        }
+        proxy.passes(ms);
+        let connects = proxy.notes.connects.len();
+        proxy.arrives(plain("new"));
+        proxy.notes.connects.len() > connects
+    };
+    (0..60).filter(lets_in).count()
+}
+
+/// A jam of two seconds on a day of three hundred proxies had them turn nearly everybody away for twelve more.
+#[test]
+fn a_jam_is_over_for_proxies_of_few_clients_within_fourteen_seconds_however_many_they_are() {
+    assert!(let_in_after(300, 301, 0) <= 6);
+    assert!((3..40).contains(&let_in_after(300, 301, 8000)), "a few proxies after the other");
+    assert_eq!(let_in_after(300, 301, 14_000), 60);
+    // Three proxies have whole connects of their own to tell by.
+    assert_eq!(let_in_after(3, 301, 0), 60);
+}
+
+#[test]
+fn connects_that_stand_late_are_the_sign_of_a_jam_and_those_in_time_of_none() {
+    assert_eq!(let_in_after(300, 300, 0), 60);
+    // Where there is a jam another server would do no better: a connect waits its client's patience out.
+    let mut proxy = Proxy::among(300, None, 1, &TWELVE.map(server));
+    let wait = |proxy: &mut Proxy| {
+        proxy.arrives(plain("k"));
+        proxy.notes.connects.last().map(|c| c.2)
+    };
+    assert_eq!(wait(&mut proxy), Some(PATIENCE.times(0.5)));
+    wait(&mut proxy);
+    wait(&mut proxy);
+    proxy.passes(301);
+    (1..3).for_each(|circuit| proxy.chooser.stands(CircuitId(circuit), proxy.now));
+    proxy.passes(200);
+    for _ in 4..40 {
+        wait(&mut proxy);
+    }
+    assert_eq!(wait(&mut proxy), Some(PATIENCE));
+}
--- /dev/null
+++ b/tests/stories/main.rs
@@ -0,0 +1,11 @@
+//! One short story for each failure met.
+
+mod answers;
+mod cold;
+mod fake;
+mod gathering;
+mod jams;
+mod listing;
+mod order;
+mod relief;
+mod trust;
--- /dev/null
+++ b/tests/stories/relief.rs
@@ -0,0 +1,136 @@
+//! Stories of who is looked at and sent away.
+
+use crate::fake::*;
+use shelfgrade::host::*;
+use shelfgrade::time::Span;
+
+#[test]
+fn a_hundred_proxies_that_hear_of_strain_do_not_empty_the_server_at_once() {
+    let strained = |seed: u64| {
+        // Seeds that follow each other begin with draws that are alike.
+        let mut proxy = Proxy::seeded(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &TWELVE.map(server));
+        proxy.settles(plain("lift-1"));
+        proxy.messages_take(1, 500);
+        proxy.notes.sent_away.len()
+    };
+    let away: usize = (0..100).map(strained).sum();
+    assert!((20..=50).contains(&away), "{away}");
+}
+
+#[test]
+fn a_strained_server_has_guests_sent_away_and_they_gather_with_their_group() {
+    let mut proxy = Proxy::of_four();
+    let member = |key| Arrival { group: Some("bank-1"), ..plain(key) };
+    let returned = |key| Arrival { returned: true, ..member(key) };
+    let home = proxy.settles(returned("k1")).expect("a place");
+    let away = ["a1", "a2", "b1", "b2"].into_iter().find(|place| *place != home).expect("another");
+    let (light, heavy) = (key_for(away), key_for(away));
+    proxy.settles(member(&light));
+    proxy.settles(member(&heavy));
+    proxy.chooser.load_is(CircuitId(3), 9.0);
+    while proxy.notes.sent_away.is_empty() {
+        proxy.messages_take(2, 200);
+    }
+    assert_eq!(proxy.notes.sent_away, [3], "the heavier guest");
+    (0..50).for_each(|_| proxy.messages_take(2, 200));
+    assert_eq!(proxy.notes.sent_away, [3, 2], "each once, and nobody who is at home");
+    assert_eq!(proxy.settles(returned(&heavy)).as_deref(), Some(home.as_str()));
+}
+
+#[test]
+fn where_work_has_piled_up_those_at_home_are_sent_away_too() {
+    let mut proxy = Proxy::of_four();
+    home(&mut proxy, "bank");
+    (0..50).for_each(|_| proxy.messages_take(1, 100));
+    assert!(proxy.notes.sent_away.is_empty());
+    (0..50).for_each(|_| proxy.messages_take(1, 500));
+    assert_eq!(proxy.notes.sent_away, [1]);
+}
+
+/// With a third of a strained server's guests at a time a fleet strained all over was never relieved.
+#[test]
+fn relief_goes_up_where_the_other_servers_are_strained_too() {
+    let away = |others: u64| {
+        let strained = |seed: u64| {
+            let mut proxy = Proxy::seeded(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &TWELVE.map(server));
+            proxy.strains(&["a2", "a3", "a4"], others);
+            let before = proxy.notes.sent_away.len();
+            proxy.strains(&["a1"], 500);
+            proxy.notes.sent_away.len() - before
+        };
+        (0..100).map(strained).sum::<usize>()
+    };
+    let (alone, among) = (away(1), away(500));
+    assert!((20..=50).contains(&alone) && among > 80, "{alone} {among}");
+}
+
+#[test]
+fn where_messages_tell_nothing_a_slow_probe_starts_relief() {
+    let mut proxy = Proxy::of_four();
+    proxy.chooser.look_round(true, proxy.now, &mut proxy.notes);
+    assert!(proxy.notes.probed.is_empty(), "nothing is held anywhere");
+    let guests: Vec<u64> = (0..12)
+        .map(|i| {
+            let key = format!("lift-{i}");
+            proxy.settles(Arrival { group: Some(&key), ..plain(&key) }).expect("a server");
+            i + 1
+        })
+        .collect();
+    proxy.lives(300);
+    let place = proxy.sent_to(guests[0])[0].clone();
+    assert!(proxy.notes.probed.contains(&place));
+    for ms in [2, 3] {
+        proxy.chooser.probed(&place, Span::millis(ms), proxy.now, &mut proxy.notes);
+    }
+    assert!(proxy.notes.sent_away.is_empty(), "a probe half as slow again is chance");
+    for _ in 0..12 {
+        proxy.chooser.probed(&place, Span::millis(30), proxy.now, &mut proxy.notes);
+    }
+    assert!(!proxy.notes.sent_away.is_empty());
+    assert!(proxy.notes.sent_away.iter().all(|c| proxy.sent_to(*c) == [place.clone()]));
+    let before = proxy.notes.probed.iter().filter(|p| **p == place).count();
+    proxy.lives(2200);
+    let after = proxy.notes.probed.iter().filter(|p| **p == place).count();
+    assert!(after >= before + 2, "a strained server is looked at each second");
+}
+
+#[test]
+fn a_draining_server_is_emptied_before_it_stops() {
+    let mut proxy = Proxy::of_four();
+    for i in 0..8 {
+        proxy.settles(plain(&format!("lift-{i}")));
+    }
+    let place = proxy.sent_to(1)[0].clone();
+    let held: Vec<u64> = (1..=8).filter(|c| proxy.sent_to(*c) == [place.clone()]).collect();
+    let draining = Listed { standing: Standing::Draining, ..server(&place) };
+    proxy.chooser.listed(&[draining], false, proxy.now);
+    proxy.chooser.look_round(true, proxy.now, &mut proxy.notes);
+    assert!(proxy.notes.sent_away.len() <= 1, "one at a time");
+    proxy.lives(8000);
+    let mut sent_away = proxy.notes.sent_away.clone();
+    sent_away.sort_unstable();
+    assert_eq!(sent_away, held);
+}
+
+#[test]
+fn a_client_whose_server_has_gone_without_a_word_is_sent_away_once() {
+    let mut proxy = Proxy::of_four();
+    proxy.settles(plain("lift-1"));
+    proxy.messages_take(1, 4000);
+    proxy.messages_take(1, 5000);
+    assert_eq!(proxy.notes.sent_away, [1]);
+}
+
+#[test]
+fn a_freak_answer_does_not_set_a_servers_quickest_for_good() {
+    let mut proxy = Proxy::of_four();
+    let key = key_for("a1");
+    proxy.chooser.probed("a1", Span::from_ms(0.05), proxy.now, &mut proxy.notes);
+    for _ in 0..40 {
+        proxy.chooser.probed("a1", Span::millis(2), proxy.now, &mut proxy.notes);
+    }
+    proxy.passes(60_000);
+    assert_eq!(proxy.settles(plain(&key)).as_deref(), Some("a1"));
+    proxy.chooser.probed("a1", Span::millis(2), proxy.now, &mut proxy.notes);
+    assert!(proxy.notes.sent_away.is_empty());
+}
