Pushed lists are watched from the start; a silent watch is opened anew at once

Seen: with "discovery":"automatic" the program made no call for the list at all (no connection in 5 s; with "subscribe" one after 0.3 s), as only Host::subscribe makes one and that needed must_ask_in. And a watch that fell silent was given up 21.5 s after its call (WAIT 20 s and SLACK 1.5 s in discovery.rs), the next call put off by up to eight seconds in a fleet of 300, where what it missed counts as told six seconds after it fell silent.

Changed: where the list is pushed, all of it is asked for at the start; PING and the first circuits wait for the answer, a second at most and a circuit half of its patience at most (early.rs); a lost watch is opened again at once, a refused one after 0.2 s. A connect refused at once was noticed a second later, as the system tells SO_ERROR only once and flush had asked first: the socket keeps it now.

Counters go through the metrics facade, with an exporter into the log. Errors of the libraries have types of their own, each with place, cause and remedy; anyhow left them.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -28,6 +28,7 @@
     chooser: Chooser,
     offerings: Vec<String>,
     may_probe: bool,
+    list_is_pushed: bool,
 }
 
 /// A list whose lines are still coming in.
@@ -108,8 +109,8 @@
     fn event(&mut self, who: u64, line: &Line) -> Result<()> {
         if line.name == "BORN" {
             let terms = shelfgrade_terms::parse(line.whole("salt")?, line.required("env")?).context("env")?;
-            let Terms { chooser, offerings, may_probe, .. } = terms;
-            self.instances.insert(who, Instance { chooser, offerings, may_probe });
+            let Terms { chooser, offerings, may_probe, list_is_pushed, .. } = terms;
+            self.instances.insert(who, Instance { chooser, offerings, may_probe, list_is_pushed });
             return Ok(());
         }
         if line.name == "HALT" {
@@ -121,8 +122,8 @@
             .instances
             .get_mut(&who)
             .with_context(|| format!("{} for instance {who}, which is not running", line.name))?;
-        let Instance { chooser, offerings, may_probe } = instance;
-        let host = self.reply.of(who, *may_probe);
+        let host = self.reply.of(who, instance);
+        let Instance { chooser, offerings, list_is_pushed, .. } = instance;
         match line.name {
             "TARGETS" => {
                 let form = line.required("form")?;
@@ -130,6 +131,7 @@
                 let whole = match form {
                     "update" => false,
                     "replace" | "restored" => true,
+                    "unavailable" if *list_is_pushed => return Ok(()),
                     "unavailable" => {
                         chooser.list_failed(now, host);
                         return Ok(());
@@ -194,7 +196,8 @@
         let Some(list) = self.list.take_if(|l| l.missing == 0) else { return };
         let Some(instance) = self.instances.get_mut(&list.who) else { return };
         if list.restored {
-            instance.chooser.start(&list.lines, self.now, self.reply.of(list.who, instance.may_probe));
+            let host = self.reply.of(list.who, instance);
+            instance.chooser.start(&list.lines, self.now, host);
         } else {
             instance.chooser.listed(&list.lines, list.whole, self.now);
         }
@@ -235,11 +238,13 @@
     from: Option<u64>,
     who: u64,
     may_probe: bool,
+    list_is_pushed: bool,
 }
 
 impl Reply {
-    fn of(&mut self, who: u64, may_probe: bool) -> &mut Self {
-        (self.who, self.may_probe) = (who, may_probe);
+    fn of(&mut self, who: u64, instance: &Instance) -> &mut Self {
+        (self.who, self.may_probe) = (who, instance.may_probe);
+        self.list_is_pushed = instance.list_is_pushed;
         self
     }
 
@@ -272,7 +277,9 @@
     }
 
     fn subscribe(&mut self) {
-        self.say(format_args!("LISTEN want=1"));
+        if !self.list_is_pushed {
+            self.say(format_args!("LISTEN want=1"));
+        }
     }
 
     fn probe(&mut self, server: &ServerId) -> bool {
--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -13,17 +13,20 @@
     pub number: Cell<u64>,
     /// When it connected, or last asked for a sign of life.
     pub since: Cell<Point>,
-    pub socket: Rc<Socket>,
+    pub socket: Rc<Socket<Proxy>>,
     begun: RefCell<Vec<u8>>,
+    /// It has asked for a sign of life and waits for it.
+    pub asks: Cell<bool>,
 }
 
 impl Caller {
-    pub fn new(number: u64, socket: Socket, now: Point) -> Rc<Self> {
+    pub fn new(number: u64, socket: Socket<Proxy>, now: Point) -> Rc<Self> {
         Rc::new(Caller {
             number: Cell::new(number),
             since: Cell::new(now),
             socket: Rc::new(socket),
             begun: RefCell::default(),
+            asks: Cell::default(),
         })
     }
 
@@ -52,8 +55,10 @@
     fn says(&self, line: &[u8], proxy: &mut Proxy) {
         let line = whole(line);
         if line == Some("PING") {
-            let answer = if proxy.is_ready() { "PONG" } else { "ERR" };
-            self.socket.tell(answer);
+            self.asks.set(true);
+            if !proxy.early.waits() {
+                self.answer_sign(proxy.is_ready());
+            }
             return proxy.heard_of(self);
         }
         match line.and_then(|line| Open::parse(line, &proxy.offerings)) {
@@ -69,6 +74,13 @@
         }
     }
 
+    /// Answers who has asked for a sign of life.
+    pub fn answer_sign(&self, ready: bool) {
+        if self.asks.take() {
+            self.socket.tell(if ready { "PONG" } else { "ERR" });
+        }
+    }
+
     /// Answers and closes at once. Guards against reading what else it sends, which may be without end.
     pub fn refuse(&self, answer: &str, why: &'static str, proxy: &mut Proxy) {
         proxy.hands.tally.complain(why);
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -35,7 +35,7 @@
     /// When that stage began.
     pub since: Cell<Point>,
     pub opening: Open,
-    pub client: Rc<Socket>,
+    pub client: Rc<Socket<Proxy>>,
     pub from_client: RefCell<Cutter>,
     pub connect: RefCell<Option<Rc<Connect>>>,
     pub up: RefCell<Ring>,
@@ -50,7 +50,7 @@
 }
 
 impl Circuit {
-    pub fn new(id: CircuitId, opening: Open, client: Rc<Socket>, ring: usize, now: Point) -> Rc<Self> {
+    pub fn new(id: CircuitId, opening: Open, client: Rc<Socket<Proxy>>, ring: usize, now: Point) -> Rc<Self> {
         Rc::new_cyclic(|me| Circuit {
             id,
             stage: Cell::new(Stage::Asking),
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -1,9 +1,9 @@
 //! The door: accepts connections, and keeps those that have yet to send their first line.
 
 use crate::caller::Caller;
+use crate::proxy::ServeFault;
 use crate::proxy::{Proxy, BEAT};
 use crate::socket::Socket;
-use anyhow::{Context, Result};
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -24,14 +24,15 @@
 }
 
 impl Door {
-    pub fn open(at: SocketAddr, handle: &LoopHandle<'static, Proxy>) -> Result<Self> {
-        let listener = listen(at).with_context(|| format!("cannot listen on {at}"))?;
-        let source = Generic::new(listener.try_clone()?, Interest::READ, Mode::Level);
+    pub fn open(at: SocketAddr, handle: &LoopHandle<'static, Proxy>) -> Result<Self, ServeFault> {
+        let cannot = |source| ServeFault::Listen { at, source };
+        let listener = listen(at).map_err(cannot)?;
+        let source = Generic::new(listener.try_clone().map_err(cannot)?, Interest::READ, Mode::Level);
         let listening = handle.insert_source(source, |_, _, proxy| {
             proxy.accept();
             Ok(PostAction::Continue)
         });
-        let listening = listening.map_err(|fault| fault.error).context("listener")?;
+        let listening = listening.map_err(|fault| cannot(std::io::Error::other(fault.error)))?;
         Ok(Door { listener, listening, callers: BTreeMap::new(), last_number: 0, ids: Default::default() })
     }
 
@@ -68,6 +69,10 @@
         self.last_number
     }
 
+    pub fn callers(&self) -> impl Iterator<Item = &Rc<Caller>> {
+        self.callers.values()
+    }
+
     fn oldest(&self) -> Option<Rc<Caller>> {
         self.callers.values().next().cloned()
     }
@@ -116,7 +121,7 @@
         self.hands.tally.must(again.is_ok(), "a timer can be set");
     }
 
-    fn take_in(&mut self, client: Socket) {
+    fn take_in(&mut self, client: Socket<Proxy>) {
         self.hands.tally.count("connections taken");
         let caller = Caller::new(self.door.next_number(), client, self.now());
         let weak = Rc::downgrade(&caller);
--- /dev/null
+++ b/crates/proxy/src/early.rs
@@ -0,0 +1,71 @@
+//! What comes before the list has been heard, where the list is pushed: what its service has counts as told from
+//! the first moment of a process, so nobody is placed by the old list while the new one is on its way.
+
+use crate::circuit::{Circuit, Stage};
+use crate::proxy::Proxy;
+use shelfgrade::time::{Point, Span};
+use std::rc::{Rc, Weak};
+
+// An agent on the same machine answers within milliseconds; one that has not by now does not run, and a client
+// waits for a server no longer than this for the hope of it.
+const WAITS: Span = Span::millis(1000);
+
+/// Who waits for the first word of the list.
+#[derive(Default)]
+pub struct Early {
+    until: Option<Point>,
+    circuits: Vec<Weak<Circuit>>,
+}
+
+impl Early {
+    pub fn until_the_list_is_heard(now: Point) -> Self {
+        Early { until: Some(now + WAITS), circuits: Vec::new() }
+    }
+
+    pub fn waits(&self) -> bool {
+        self.until.is_some()
+    }
+
+    pub fn holds(&mut self, circuit: &Rc<Circuit>) {
+        self.circuits.push(Rc::downgrade(circuit));
+    }
+}
+
+impl Proxy {
+    /// The list has been heard, or is waited for no longer: who came early has its turn, in the order of coming.
+    pub fn list_is_here(&mut self) {
+        if self.early.until.take().is_none() {
+            return;
+        }
+        for circuit in std::mem::take(&mut self.early.circuits) {
+            circuit.upgrade().inspect(|circuit| self.place(circuit));
+        }
+        let ready = self.is_ready();
+        self.door.callers().for_each(|caller| caller.answer_sign(ready));
+    }
+
+    /// Called with each beat: nobody waits past the bound, and no circuit past half of its patience.
+    pub fn end_of_waiting(&mut self) {
+        let now = self.now();
+        let Some(until) = self.early.until else { return };
+        if now >= until {
+            log::warn!("the list is pushed, but nothing has come: serving with the one known at the start");
+            return self.list_is_here();
+        }
+        let impatient = |c: &Rc<Circuit>| now.since(c.since.get()) >= c.opening.patience.times(0.5);
+        let due = self.early.circuits.extract_if(.., |c| c.upgrade().as_ref().is_none_or(impatient));
+        for circuit in due.collect::<Vec<_>>().iter().filter_map(Weak::upgrade) {
+            self.place(&circuit);
+        }
+    }
+
+    /// Hands a circuit to the decisions; its patience counts from when it came.
+    pub fn place(&mut self, circuit: &Rc<Circuit>) {
+        if circuit.stage.get() == Stage::Asking {
+            let now = self.now();
+            let arrival = crate::proxy::arrival(circuit, circuit.since.get() + circuit.opening.patience);
+            self.chooser.arrived(&arrival, now, &mut self.hands);
+            self.settle();
+        }
+    }
+}
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -1,11 +1,19 @@
 //! The server list in discovery's form.
 
-use anyhow::{bail, Result};
 use serde::Deserialize;
 use shelfgrade::host::{Listed, Standing};
 use shelfgrade::time::Point;
 use std::net::SocketAddr;
 
+/// Why a list is refused, which is always whole: the one held before goes on.
+#[derive(Debug, thiserror::Error)]
+pub enum ListFault {
+    #[error("no list of servers ({0}): see what writes it, and that every entry has `host` and `health`")]
+    Form(#[from] serde_json::Error),
+    #[error("a list in which {host} has no address: give it a `dial`, or say that it is `terminated`")]
+    NoAddress { host: String },
+}
+
 #[derive(Deserialize, Default)]
 pub struct Listing {
     pub seq: u64,
@@ -41,11 +49,11 @@
 
 impl Listing {
     /// Reads an answer; one with any part that makes no sense is refused whole.
-    pub fn parse(text: &[u8]) -> Result<Self> {
+    pub fn parse(text: &[u8]) -> Result<Self, ListFault> {
         let listing: Listing = serde_json::from_slice(text)?;
         for entry in &listing.entries {
             if entry.dial.is_none() && entry.health != Health::Terminated {
-                bail!("{} has no address", entry.host);
+                return Err(ListFault::NoAddress { host: entry.host.clone() });
             }
         }
         Ok(listing)
@@ -78,7 +86,7 @@
 mod tests {
     use super::*;
 
-    fn parse(health: &str, dial: &str) -> Result<Listing> {
+    fn parse(health: &str, dial: &str) -> Result<Listing, ListFault> {
         let entry = format!(
             r#"{{"host":"s","dial":{dial},"class":"m2","health":"{health}","born_ms":0,"share":1.0}}"#
         );
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 pub struct Probe {
-    socket: Socket,
+    socket: Socket<Proxy>,
     out: RefCell<Ring>,
     back: RefCell<Ring>,
     lines: RefCell<Cutter>,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,8 +1,10 @@
 //! The proxy: owns the decisions, hears from the sockets, and carries out what is decided.
 
 use crate::circuit::{Circuit, Stage};
-use crate::discovery::Discovery;
+use crate::discovery::{CallFault, Discovery, Follower};
 use crate::door::Door;
+use crate::driver::OnLoop;
+use crate::early::Early;
 use crate::hands::Hands;
 use crate::line::{Open, LONGEST};
 use crate::listing::Listing;
@@ -10,13 +12,13 @@
 use crate::server::Server;
 use crate::socket::Socket;
 use crate::start::{Limits, Start};
-use anyhow::{Context, Result};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
-use calloop::{EventLoop, LoopSignal};
+use calloop::{EventLoop, LoopHandle, LoopSignal};
 use shelfgrade::choice::Chooser;
 use shelfgrade::host::{Arrival, CircuitId, Ending, ServerId};
 use shelfgrade::time::{Point, Span};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,7 +31,8 @@
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
     pub door: Door,
-    discovery: Rc<Discovery>,
+    discovery: Rc<Discovery<Proxy>>,
+    pub early: Early,
     /// The size of one ring.
     ring: usize,
     pub stop: LoopSignal,
@@ -39,29 +42,40 @@
     pub last_arrival: Point,
 }
 
+/// Why a proxy cannot serve, or no longer.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeFault {
+    #[error("cannot listen on {at} ({source}): see that the address is this machine's and that nobody listens there")]
+    Listen { at: SocketAddr, source: std::io::Error },
+    #[error("the event loop: {0}: see the limits on descriptors and memory, and start it again")]
+    Loop(#[from] calloop::Error),
+}
+
 /// Serves until told to end.
-pub fn serve(start: Start) -> Result<()> {
+pub fn serve(start: Start) -> Result<(), ServeFault> {
     let ring = ring_size(start.limits);
     if let Err(fault) = limit_descriptors(start.limits.sockets) {
         log::warn!("the limit on descriptors stays as it is: {fault}");
     }
 
-    let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().context("event loop")?;
+    let mut events: EventLoop<'static, Proxy> = EventLoop::try_new()?;
     let handle = events.handle();
     let door = Door::open(start.listen, &handle)?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).context("signals")?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
     let signals = handle.insert_source(signals, |event, _, proxy| match event.signal() {
         Signal::SIGHUP => proxy.told_to_read_again(),
         _ => proxy.told_to_end(),
     });
-    signals.map_err(|fault| fault.error).context("signals")?;
+    signals.map_err(|fault| fault.error)?;
     let beat = handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
         proxy.beat();
         TimeoutAction::ToDuration(BEAT)
     });
-    beat.map_err(|fault| fault.error).context("timer")?;
+    beat.map_err(|fault| fault.error)?;
 
-    let seq = Some(start.known.seq).filter(|_| !start.known.entries.is_empty());
+    // Where the list is pushed, all of it is asked for at the start, so that the answer comes at once.
+    let pushed = start.terms.list_is_pushed;
+    let seq = Some(start.known.seq).filter(|_| !start.known.entries.is_empty() && !pushed);
     let signs = (start.terms.may_probe, start.terms.tells_delay);
     let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, signs);
     let now = hands.clock.now();
@@ -72,6 +86,7 @@
         offerings: start.terms.offerings,
         door,
         discovery: Discovery::new(start.discovery, seq),
+        early: if pushed { Early::until_the_list_is_heard(now) } else { Early::default() },
         ring,
         stop: events.get_signal(),
         pulses_taken: now,
@@ -83,9 +98,9 @@
     // Lines come back at once here however strained a server is.
     proxy.chooser.look_round(!proxy.hands.tells_delay, now, &mut proxy.hands);
     proxy.settle();
-    let address = proxy.door.address().context("listener")?;
+    let address = proxy.door.address().map_err(|source| ServeFault::Listen { at: start.listen, source })?;
     log::info!("{} listens on {address}, {} servers known", start.name, proxy.hands.servers.len());
-    events.run(None, &mut proxy, |_| {}).context("event loop")?;
+    events.run(None, &mut proxy, |_| {})?;
     tally.log();
     Ok(())
 }
@@ -116,7 +131,7 @@
     }
 
     /// A client has sent its first line.
-    pub fn open(&mut self, open: Open, client: Rc<Socket>) {
+    pub fn open(&mut self, open: Open, client: Rc<Socket<Proxy>>) {
         log::trace!("{open:?}");
         let now = self.now();
         let circuit = Circuit::new(self.hands.next_id(), open, client, self.ring, now);
@@ -130,9 +145,11 @@
         } else {
             self.hands.tally.count("circuits");
             self.last_arrival = now;
-            let arrival = arrival(&circuit, now + circuit.opening.patience);
-            self.chooser.arrived(&arrival, now, &mut self.hands);
-            self.settle();
+            if self.early.waits() {
+                self.early.holds(&circuit);
+            } else {
+                self.place(&circuit);
+            }
         }
         // What came since its line was read, brings no event of its own.
         circuit.ready(self);
@@ -189,23 +206,6 @@
         }
     }
 
-    pub fn listed(&mut self, listing: &Listing) {
-        let now = self.now();
-        log::debug!("list {}: {} lines, whole {}", listing.seq, listing.entries.len(), listing.whole);
-        self.hands.list_heard.set(true);
-        self.hands.follow(listing);
-        self.chooser.listed(&listing.lines(), listing.whole, now);
-        self.hands.take_over_waiting();
-        self.settle();
-    }
-
-    pub fn list_failed(&mut self) {
-        self.hands.tally.count("list calls failed");
-        let now = self.now();
-        self.chooser.list_failed(now, &mut self.hands);
-        self.settle();
-    }
-
     /// Tells the module what came of its own calls.
     pub fn settle(&mut self) {
         while let Some((circuit, ending, done)) = self.hands.untold.pop_front() {
@@ -213,7 +213,7 @@
             self.chooser.ended(circuit, ending, done, now, &mut self.hands);
         }
         if self.hands.wants_list.take() {
-            self.discovery.clone().call(self);
+            self.discovery.clone().ask(self);
         }
         while let Some(server) = self.hands.to_probe.pop_front() {
             Probe::ask(&server, self);
@@ -224,6 +224,7 @@
         let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
         circuits.iter().for_each(|circuit| circuit.beat(self));
         self.sweep_callers();
+        self.end_of_waiting();
         self.tell_pulses();
         self.end_when_done(&circuits);
     }
@@ -258,18 +259,56 @@
     fn told_to_read_again(&mut self) {
         let start = match Start::from_environment() {
             Ok(start) => start,
-            Err(fault) => return log::error!("not read again, nothing changes: {fault:#}"),
+            Err(fault) => return log::error!("not read again, nothing changes: {fault}"),
         };
         let moves = self.discovery.clone().move_to(start.discovery, self);
         log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
         if moves {
-            self.chooser.list_moved(&mut self.hands);
+            self.chooser.list_lost(&mut self.hands);
             self.settle();
         }
     }
 }
 
-fn arrival(circuit: &Circuit, patience_ends: Point) -> Arrival<'_> {
+impl OnLoop for Proxy {
+    fn handle(&self) -> LoopHandle<'static, Self> {
+        self.hands.handle.clone()
+    }
+
+    fn now(&self) -> Point {
+        self.hands.clock.now()
+    }
+}
+
+impl Follower for Proxy {
+    fn listed(&mut self, listing: &Listing) {
+        let now = self.now();
+        log::debug!("list {}: {} lines, whole {}", listing.seq, listing.entries.len(), listing.whole);
+        self.hands.list_heard.set(true);
+        self.hands.follow(listing);
+        self.chooser.listed(&listing.lines(), listing.whole, now);
+        self.hands.take_over_waiting();
+        self.settle();
+        self.list_is_here();
+    }
+
+    fn list_failed(&mut self, fault: &CallFault) {
+        log::warn!("{fault}");
+        self.hands.tally.count("list calls failed");
+        let now = self.now();
+        self.chooser.list_failed(now, &mut self.hands);
+        self.settle();
+    }
+
+    fn list_silent(&mut self, fault: &CallFault) {
+        log::warn!("{fault}");
+        self.hands.tally.count("list calls silent");
+        self.chooser.list_lost(&mut self.hands);
+        self.settle();
+    }
+}
+
+pub fn arrival(circuit: &Circuit, patience_ends: Point) -> Arrival<'_> {
     let opening = &circuit.opening;
     Arrival {
         circuit: circuit.id,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -42,7 +42,7 @@
 
 pub struct Connect {
     pub server: Rc<Server>,
-    pub socket: Socket,
+    pub socket: Socket<Proxy>,
     phase: Cell<Phase>,
     /// What is left to write of the first line.
     first: RefCell<Ring>,
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,5 @@
 //! A non-blocking TCP connection that the loop watches until it is dropped.
 
-use crate::proxy::Proxy;
 use crate::ring::Ring;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -17,20 +16,23 @@
     Reset,
 }
 
-type Callback = Rc<dyn Fn(&mut Proxy)>;
+type Callback<T> = Rc<dyn Fn(&mut T)>;
 
-pub struct Socket {
+/// `T` is what the loop hands to those that are called.
+pub struct Socket<T: 'static> {
     stream: Rc<TcpStream>,
-    watch: Cell<Option<(LoopHandle<'static, Proxy>, RegistrationToken)>>,
+    watch: Cell<Option<(LoopHandle<'static, T>, RegistrationToken)>>,
     /// What is called when it may have become readable or writable.
-    ready: Rc<RefCell<Callback>>,
+    ready: Rc<RefCell<Callback<T>>>,
+    /// How a connect failed.
+    refused: Cell<Option<ErrorKind>>,
     /// Set once the peer has ended, however that was noticed.
     pub ended: Cell<Option<End>>,
     /// Set once our side has ended.
     pub closed: Cell<Option<End>>,
 }
 
-impl Socket {
+impl<T> Socket<T> {
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -38,6 +40,7 @@
             stream: Rc::new(stream),
             watch: Cell::default(),
             ready: Rc::new(RefCell::new(Rc::new(|_| {}))),
+            refused: Cell::default(),
             ended: Cell::default(),
             closed: Cell::default(),
         })
@@ -60,17 +63,13 @@
 
     /// Calls `ready` whenever the socket may have become readable or writable: at each change, not as long as
     /// it lasts, so whoever is called reads and writes until it would block.
-    pub fn watch(
-        &self,
-        handle: &LoopHandle<'static, Proxy>,
-        ready: impl Fn(&mut Proxy) + 'static,
-    ) -> io::Result<()> {
+    pub fn watch(&self, handle: &LoopHandle<'static, T>, ready: impl Fn(&mut T) + 'static) -> io::Result<()> {
         self.on_ready(ready);
         let ready = self.ready.clone();
         let source = Generic::new(self.stream.clone(), Interest::BOTH, Mode::Edge);
-        let token = handle.insert_source(source, move |_, _, proxy| {
+        let token = handle.insert_source(source, move |_, _, data| {
             let call = ready.borrow().clone();
-            call(proxy);
+            call(data);
             Ok(PostAction::Continue)
         });
         self.watch.set(Some((handle.clone(), token.map_err(|fault| io::Error::other(fault.error))?)));
@@ -78,14 +77,18 @@
     }
 
     /// Has something else called from now on.
-    pub fn on_ready(&self, ready: impl Fn(&mut Proxy) + 'static) {
+    pub fn on_ready(&self, ready: impl Fn(&mut T) + 'static) {
         *self.ready.borrow_mut() = Rc::new(ready);
     }
 
-    /// Whether a connect has come up; an error where it has failed.
+    /// Whether a connect has come up; an error where it has failed. Guards against a refusal that one asks about
+    /// and the next does not hear of: the system tells it once.
     pub fn is_up(&self) -> io::Result<bool> {
         if let Some(fault) = self.stream.take_error()? {
-            return Err(fault);
+            self.refused.set(Some(fault.kind()));
+        }
+        if let Some(kind) = self.refused.get() {
+            return Err(kind.into());
         }
         match self.stream.peer_addr() {
             Ok(_) => Ok(true),
@@ -175,7 +178,7 @@
     }
 }
 
-impl Drop for Socket {
+impl<T> Drop for Socket<T> {
     fn drop(&mut self) {
         if let Some((handle, token)) = self.watch.take() {
             handle.remove(token);
--- a/crates/proxy/src/start.rs
+++ b/crates/proxy/src/start.rs
@@ -1,13 +1,40 @@
 //! What a proxy is told at its start: the environment, and the file that it names.
 
-use crate::listing::Listing;
-use anyhow::{Context, Result};
+use crate::listing::{ListFault, Listing};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use shelfgrade_terms::Terms;
+use shelfgrade_terms::{Terms, TermsFault};
 use std::env;
 use std::net::SocketAddr;
 
+/// Why a start-up file cannot be used; each text says where the fault is and what to do about it.
+#[derive(Debug, thiserror::Error)]
+pub enum StartFault {
+    #[error("RELAY_CONFIG is not set: have it name the start-up file")]
+    Unnamed,
+    #[error("{path}: cannot be read ({source}): see that the file is there and may be read by this user")]
+    Unreadable { path: String, source: std::io::Error },
+    #[error("{path}: {source}")]
+    Unusable { path: String, source: FileFault },
+}
+
+/// What is wrong in a start-up file.
+#[derive(Debug, thiserror::Error)]
+pub enum FileFault {
+    #[error("no start-up file ({0}): correct the JSON there")]
+    Form(#[from] serde_json::Error),
+    #[error("{0} is not set: give it in the file or in the environment")]
+    Missing(&'static str),
+    #[error("{name}: {text} is not an address with a port: write one such as 127.0.0.1:8000")]
+    Address { name: &'static str, text: String },
+    #[error("seed: {0:?} is not a hexadecimal number: write up to sixteen digits of 0 to 9 and a to f")]
+    Seed(String),
+    #[error("known: {0}")]
+    Known(#[from] ListFault),
+    #[error("settings: {0}")]
+    Settings(#[from] TermsFault),
+}
+
 pub struct Start {
     pub name: String,
     pub listen: SocketAddr,
@@ -40,30 +67,30 @@
 impl Start {
     /// Reads the file that `RELAY_CONFIG` names; what it leaves out of name and addresses comes from the
     /// environment.
-    pub fn from_environment() -> Result<Self> {
-        let path =
-            env::var("RELAY_CONFIG").context("RELAY_CONFIG, the path of the start-up file, is not set")?;
-        let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))?;
-        Self::parse(&text, |name| env::var(name).ok()).with_context(|| path)
+    pub fn from_environment() -> Result<Self, StartFault> {
+        let path = env::var("RELAY_CONFIG").map_err(|_| StartFault::Unnamed)?;
+        let read = std::fs::read_to_string(&path);
+        let text = read.map_err(|source| StartFault::Unreadable { path: path.clone(), source })?;
+        let parsed = Self::parse(&text, |name| env::var(name).ok());
+        parsed.map_err(|source| StartFault::Unusable { path, source })
     }
 
-    pub fn parse(text: &str, environment: impl Fn(&str) -> Option<String>) -> Result<Self> {
+    pub fn parse(text: &str, environment: impl Fn(&str) -> Option<String>) -> Result<Self, FileFault> {
         let file: File = serde_json::from_str(text)?;
-        let or_else = |given: Option<String>, name: &str| {
-            given.or_else(|| environment(name)).with_context(|| format!("{name} is not set"))
+        let or_else = |given: Option<String>, name: &'static str| {
+            given.or_else(|| environment(name)).ok_or(FileFault::Missing(name))
         };
-        let address = |given, name: &str| {
+        let address = |given, name: &'static str| {
             let text = or_else(given, name)?;
-            text.parse().with_context(|| format!("{name}: {text} is not an address with a port"))
+            text.parse().map_err(|_| FileFault::Address { name, text })
         };
-        let seed = u64::from_str_radix(&file.seed, 16);
-        let seed = seed.with_context(|| format!("seed {:?} is not a hexadecimal number", file.seed))?;
-        let known = file.known.map(|k| Listing::parse(k.get().as_bytes()).context("known")).transpose()?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| FileFault::Seed(file.seed))?;
+        let known = file.known.map(|known| Listing::parse(known.get().as_bytes())).transpose()?;
         Ok(Start {
             name: or_else(file.name, "RELAY_NAME")?,
             listen: address(file.listen, "RELAY_LISTEN")?,
             discovery: address(file.discovery, "RELAY_DISCOVERY")?,
-            terms: shelfgrade_terms::parse(seed, file.settings.get()).context("settings")?,
+            terms: shelfgrade_terms::parse(seed, file.settings.get())?,
             limits: file.limits,
             known: known.unwrap_or_default(),
         })
--- a/crates/proxy/src/tally.rs
+++ b/crates/proxy/src/tally.rs
@@ -1,23 +1,73 @@
-//! Counters, logged at the exit and explained in docs/on-call.md.
+//! Counters on the `metrics` facade, with an exporter into the log; docs/on-call.md explains them.
 
-use std::cell::{Cell, RefCell};
+use metrics::{Counter, Gauge, Histogram, Key, KeyName, Metadata, Recorder, SharedString, Unit};
+use metrics_util::registry::{AtomicStorage, Registry};
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 
-#[derive(Default)]
-pub struct Tally {
-    counts: RefCell<BTreeMap<&'static str, u64>>,
-    broken: Cell<u64>,
+/// What must hold and did not.
+const BROKEN: &str = "broken assertions";
+
+/// Keeps counters until they are logged. A program that embeds this one may have set a recorder of its own, which
+/// then has them all, and the log none.
+#[derive(Clone)]
+struct Exporter(Arc<Registry<Key, AtomicStorage>>);
+
+impl Exporter {
+    fn counts(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        self.0.visit_counters(|key, counter| {
+            counts.insert(key.name().to_owned(), counter.load(Ordering::Relaxed));
+        });
+        counts
+    }
+
+    fn count(&self, what: &'static str) -> u64 {
+        let key = Key::from_static_name(what);
+        self.0.get_or_create_counter(&key, |counter| counter.load(Ordering::Relaxed))
+    }
+}
+
+impl Recorder for Exporter {
+    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
+        self.0.get_or_create_counter(key, |counter| Counter::from_arc(counter.clone()))
+    }
+
+    // Nothing here is measured in these.
+    fn register_gauge(&self, _: &Key, _: &Metadata<'_>) -> Gauge {
+        Gauge::noop()
+    }
+    fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
+        Histogram::noop()
+    }
+}
+
+pub struct Tally(Exporter);
+
+impl Default for Tally {
+    fn default() -> Self {
+        let exporter = Exporter(Arc::new(Registry::atomic()));
+        if metrics::set_global_recorder(exporter.clone()).is_err() {
+            log::info!("counters go to the recorder that is set already, and not to the log");
+        }
+        Tally(exporter)
+    }
 }
 
 impl Tally {
     pub fn count(&self, what: &'static str) {
-        *self.counts.borrow_mut().entry(what).or_default() += 1;
+        metrics::counter!(what).increment(1);
     }
 
     /// Counts what a peer did wrong. Guards against bad peers filling the log: only each doubling is told.
     pub fn complain(&self, what: &'static str) {
         self.count(what);
-        let so_far = self.counts.borrow()[what];
+        let so_far = self.0.count(what);
         if so_far.is_power_of_two() {
             log::warn!("{what}: {so_far} so far");
         }
@@ -28,12 +78,14 @@
         debug_assert!(holds, "{what}");
         if !holds {
             log::error!("does not hold: {what}");
-            self.broken.set(self.broken.get() + 1);
+            self.count(BROKEN);
         }
     }
 
     pub fn log(&self) {
-        let counts: Vec<_> = self.counts.borrow().iter().map(|(what, n)| format!("{what} {n}")).collect();
-        log::info!("counted: {}; broken assertions {}", counts.join(", "), self.broken.get());
+        let mut counts = self.0.counts();
+        let broken = counts.remove(BROKEN).unwrap_or(0);
+        let counts: Vec<_> = counts.iter().map(|(what, n)| format!("{what} {n}")).collect();
+        log::info!("counted: {}; {BROKEN} {broken}", counts.join(", "));
     }
 }
--- a/crates/proxy/tests/sockets/life.rs
+++ b/crates/proxy/tests/sockets/life.rs
@@ -46,18 +46,39 @@
     assert_eq!(program.exit().0, Some(0));
 }
 
+/// Told to end, it owes an answer or a move to whoever is there, whatever they are at: what it still holds when it is
+/// killed 3.7 s later is lost.
 #[test]
-fn bad_start_up_files_are_one_clear_line_and_a_failure() {
-    for (text, fault) in [
-        ("{", "EOF while parsing"),
-        (r#"{"seed":"xyz","limits":{"memory_mb":64,"sockets":64},"settings":{}}"#, "hexadecimal"),
-        (r#"{"seed":"1","limits":{"memory_mb":64,"sockets":64},"settings":{}}"#, "RELAY_NAME"),
-    ] {
-        let (child, path) = Program::launch(text);
-        let output = child.wait_with_output().unwrap();
-        std::fs::remove_file(path).unwrap();
-        let log = String::from_utf8(output.stderr).unwrap();
-        assert!(!output.status.success());
-        assert!(log.contains(fault) && log.lines().count() == 1, "{log}");
+fn told_to_end_it_settles_connections_in_every_stage_before_it_is_killed() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let (mut standing, _its_server) = program.settles(&server);
+    let (mut in_a_line, mut its_server) = program.settles(&server);
+    its_server.say("NEWS t");
+    let (mut deaf, mut talker) = program.settles(&server);
+    let mut silent = program.client();
+    let mut asking = program.opens("lift-2", ",d=3000");
+    let _never_answers = server.accept();
+    program.terminate();
+    let told = Instant::now();
+    let mut front = program.client();
+    assert_eq!(front.say("PING\r\n").line(), "PONG", "its front may not have noticed yet");
+    let lines = 200;
+    for i in 0..lines {
+        talker.say(&format!("M {i}\r\n"));
     }
+
+    assert_eq!((standing.line(), standing.line()), ("MOVE".into(), "".into()));
+    // The server that began a line finishes it as late as a move waits for that.
+    its_server.say("wo\r\n");
+    assert_eq!((in_a_line.line(), in_a_line.line()), ("NEWS two".into(), "MOVE".into()));
+    let answer = asking.line();
+    assert!(answer.starts_with("BUSY") || answer == "ERR", "{answer}");
+    assert!(["", "ERR", "BUSY"].contains(&&*silent.line()));
+    let (code, log) = program.exit();
+    assert!(code == Some(0) && log.contains("broken assertions 0"), "{code:?} {log}");
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+    // Who reads late finds all that was sent, and the move behind it.
+    (0..lines).for_each(|i| assert_eq!(deaf.line(), format!("M {i}")));
+    assert_eq!((deaf.line(), deaf.line()), ("MOVE".into(), "".into()));
 }
--- a/crates/proxy/tests/sockets/listing.rs
+++ b/crates/proxy/tests/sockets/listing.rs
@@ -1,6 +1,6 @@
 //! Stories of discovery.
 
-use crate::stand::{list, next_call, Place, Program, USUAL};
+use crate::stand::{list, next_call, Place, Program, Terms, PUSHED, USUAL};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -110,3 +110,89 @@
     call.say(&list(3, true, &[two.entry("in_service")]));
     assert!(program.ends().contains("connections up 2"));
 }
+
+/// Where the list was pushed the program made no call at all, and went by the list known at its start for good.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_the_first_to_come_wait_for_its_word() {
+    let (old, new) = (Place::new("s1"), Place::new("s2"));
+    let program = Program::start(PUSHED, &[&old]);
+    let (mut call, path) = program.discovery.called();
+    assert_eq!(path, "/catalog/members", "all of it, so that the answer comes at once");
+    let mut front = program.client();
+    assert!(front.say("PING\r\n").is_quiet(), "nobody is invited yet");
+    let mut client = program.opens("lift-1", ",d=3000");
+    assert!(client.is_quiet() && old.try_accept().is_none(), "nor placed");
+    call.say(&list(9, true, &[old.entry("terminating"), new.entry("in_service")]));
+    assert_eq!(front.line(), "PONG");
+    let _server = new.serve();
+    assert_eq!(client.line(), "UP 0123");
+    assert!(old.try_accept().is_none(), "it was told to drain before the process began");
+    assert!(next_call(&mut call).contains("index=9"), "the watch goes on");
+}
+
+#[test]
+fn a_pushed_list_that_does_not_come_keeps_nobody_waiting_past_the_bound() {
+    let server = Place::new("s1");
+    let program = Program::start(PUSHED, &[&server]);
+    let _silent = program.discovery.called();
+    let began = Instant::now();
+    let (mut hasty, mut patient) = (program.opens("lift-1", ",d=600"), program.opens("lift-2", ",d=3000"));
+    let _first = server.serve();
+    assert_eq!(hasty.line(), "UP 0123");
+    assert!(began.elapsed() < Duration::from_millis(550), "a circuit waits for half of its patience at most");
+    let mut front = program.client();
+    assert_eq!(front.say("PING\r\n").line(), "PONG");
+    let _second = server.serve();
+    assert_eq!(patient.line(), "UP 0123");
+    assert!(began.elapsed() < Duration::from_millis(2000));
+}
+
+/// What its agent has counts as told whether or not a watch is open: a pause before the next one is a pause blind.
+#[test]
+fn a_lost_watch_of_a_pushed_list_is_opened_again_at_once_but_one_that_is_refused_is_not_asked_without_end() {
+    let server = Place::new("s1");
+    let program = Program::start(PUSHED, &[&server]);
+    let (mut call, _) = program.discovery.called();
+    call.say(&list(9, true, &[server.entry("in_service")]));
+    next_call(&mut call);
+    let lost = Instant::now();
+    call.reset();
+    let (mut call, path) = program.discovery.called();
+    assert!(
+        path.contains("index=9") && lost.elapsed() < Duration::from_millis(150),
+        "{path} {:?}",
+        lost.elapsed()
+    );
+    let mut asked = 0;
+    while lost.elapsed() < Duration::from_millis(1500) {
+        call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        call = program.discovery.called().0;
+        asked += 1;
+    }
+    assert!((2..12).contains(&asked), "{asked}");
+}
+
+/// A silent watch was given up 21.5 s after its call, and the next call put off by up to eight seconds more in a large
+/// fleet, where what it missed counts as told six seconds after it fell silent.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() {
+    for terms in [Terms { balancers: "300", ..PUSHED }, Terms { balancers: "300", ..USUAL }] {
+        let pushed = terms.discovery == "automatic";
+        let (old, new) = (Place::new("s1"), Place::new("s2"));
+        let program = Program::start(terms, &[&old]);
+        let (mut call, _) = program.discovery.called();
+        if pushed {
+            call.say(&list(7, true, &[old.entry("in_service")]));
+            next_call(&mut call);
+        }
+        let silent = Instant::now();
+        let (mut call, path) = program.discovery.called();
+        assert!(path.contains("index=7"), "{path}");
+        assert!(silent.elapsed() < Duration::from_millis(5500), "{:?}", silent.elapsed());
+        call.say(&list(8, false, &[old.entry("terminating"), new.entry("in_service")]));
+        next_call(&mut call);
+        let mut client = program.opens("lift-1", ",d=3000");
+        let _server = new.serve();
+        assert_eq!(client.line(), "UP 0123");
+    }
+}
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! Stories of the program on sockets, one for each thing that could go wrong there.
 
+mod faults;
 mod life;
 mod listing;
 mod migration;
--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -181,6 +181,8 @@
     pub quota: &'static str,
     /// How many proxies there are.
     pub balancers: &'static str,
+    /// How the list comes.
+    pub discovery: &'static str,
 }
 
 pub const USUAL: Terms = Terms {
@@ -192,8 +194,12 @@
     aim_ms: 50,
     quota: "0",
     balancers: "null",
+    discovery: "subscribe",
 };
 
+/// The list is pushed, by an agent that is watched.
+pub const PUSHED: Terms = Terms { discovery: "automatic", ..USUAL };
+
 pub struct Program {
     pub child: Child,
     log: BufReader<ChildStderr>,
@@ -208,9 +214,10 @@
     pub fn start(terms: Terms, known: &[&Place]) -> Self {
         let discovery = Place::new("discovery");
         let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
-        let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers } = terms;
+        let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, discovery: how } =
+            terms;
         let settings = format!(
-            r#"{{"balancers":{balancers},"discovery":"subscribe","offerings":[{{"name":"alarm","idempotency":"{effect}"}}],
+            r#"{{"balancers":{balancers},"discovery":"{how}","offerings":[{{"name":"alarm","idempotency":"{effect}"}}],
             "bounds":{{"most_connects":3,"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
             "invariants":{{"overload_factor":4,"must_ask_in_ms":1500}},
             "extra":{{"message_aim_ms":[{aim_ms}],"tells_delay":{tells_delay},"tenant_quota_connections":[{quota}]}}}}"#
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,7 +1,6 @@
 //! The settings that a proxy is given at its start, on any wire: reads what the decisions need and builds
 //! them. Unknown keys are ignored.
 
-use anyhow::{bail, Result};
 use serde::Deserialize;
 use shelfgrade::choice::{Chooser, WarmUp};
 use shelfgrade::host::{Circle, Effect, Offering};
@@ -16,6 +15,18 @@
 // What one server is taken to hold, in connections, where nothing tells; deployments that tell have 29 to 47.
 const HOLDS: f64 = 30.0;
 
+/// Why settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum TermsFault {
+    #[error("not what is wanted ({0}): correct the value there")]
+    Form(#[from] serde_json::Error),
+    #[error(
+        "extra: server_connections beside tenant_quota_connections that are all bounded: what servers hold is told \
+         twice; leave one of them out"
+    )]
+    ToldTwice,
+}
+
 /// A figure that is no less than nothing. Guards against settings that would make a time or a share of none.
 #[derive(Deserialize, Default, Clone, Copy)]
 #[serde(try_from = "f64")]
@@ -130,6 +141,8 @@
     pub offerings: Vec<String>,
     /// A connection that is not established within this has failed; none where the terms leave it open.
     pub dial_time_out: Option<Span>,
+    /// The list is pushed: what its service has counts as told, whether or not it was heard.
+    pub list_is_pushed: bool,
     /// Servers tell by themselves how long messages take.
     pub tells_delay: bool,
     /// Probes are allowed.
@@ -137,13 +150,13 @@
 }
 
 /// Reads the terms from the text of their JSON object.
-pub fn parse(seed: u64, text: &str) -> Result<Terms> {
+pub fn parse(seed: u64, text: &str) -> Result<Terms, TermsFault> {
     let env: Env = serde_json::from_str(text)?;
     let proxies = env.balancers.map_or(MANY, NonZeroUsize::get);
     let Env { offerings, invariants, bounds, extra, .. } = env;
     let all_hold = all_hold(&extra.tenant_quota_connections);
     if all_hold.is_some() && extra.server_connections.is_some() {
-        bail!("server_connections beside tenant_quota_connections: what servers hold is told twice");
+        return Err(TermsFault::ToldTwice);
     }
     let warm_up = WarmUp {
         cold_from: invariants.cold_from.0,
@@ -185,6 +198,7 @@
         chooser,
         offerings: offerings.into_iter().map(|o| o.name).collect(),
         dial_time_out: Some(bounds.dial_timeout_ms.0).filter(|ms| *ms > 0.0).map(Span::from_ms),
+        list_is_pushed: must_ask_in.is_none(),
         tells_delay: extra.tells_delay,
         may_probe: bounds.probes,
     })
@@ -196,7 +210,7 @@
     use shelfgrade::host::{CircuitId, Host, ServerId};
     use shelfgrade::time::Point;
 
-    fn settings(balancers: &str, cold_ms: &str) -> Result<Terms> {
+    fn settings(balancers: &str, cold_ms: &str) -> Result<Terms, TermsFault> {
         let text = format!(
             r#"{{{balancers}"discovery":"subscribe","offerings":[],"bounds":{{"most_connects":3}},
             "invariants":{{"overload_factor":4,"cold_ms":{cold_ms},"must_ask_in_ms":10000}}}}"#
--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -4,15 +4,6 @@
 use crate::time::Point;
 
 impl WarmUp {
-    /// How many connections this proxy would hold of what so many servers can.
-    pub(super) fn part(&self, servers: usize) -> f64 {
-        self.all_hold.unwrap_or(self.each_holds * servers as f64) / self.proxies
-    }
-
-    pub(super) fn warmth(&self, server: &Server, now: Point) -> f64 {
-        server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span).min(1.0))
-    }
-
     /// The share of circuits a server may have. Guards against pushing a cold one over, by what a proxy sees:
     /// the crowd that came just now is its part of all that comes, what is open its part of what fills.
     pub(super) fn share(&self, server: &Server, part: f64, crowd: f64, most: f64, now: Point) -> f64 {
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -112,8 +112,9 @@
         self.shelf.set_half_lives();
     }
 
-    /// Another service gives the list from now on: it is asked at once, whatever the old one's failures.
-    pub fn list_moved(&mut self, host: &mut dyn Host) {
+    /// The watch has fallen silent, or another service gives the list from now on: it is asked at once, whatever
+    /// failed before. Guards against what a silent watch misses counting as told while a fleet waits its turns.
+    pub fn list_lost(&mut self, host: &mut dyn Host) {
         self.list_failures = 0;
         host.subscribe();
     }
@@ -188,9 +189,13 @@
         const LEAST: Span = Span::millis(200);
         // Of 40 and 80 ms a hundred proxies did as well with either; three ask about as they always did.
         const EACH: Span = Span::millis(40);
-        let Some(must_ask_in) = self.must_ask_in else { return };
+        // A pushed list is told by an agent of this proxy's own, whom no other proxy asks.
+        let most = self.must_ask_in.map_or(Span::default(), |within| within.times(0.8));
+        if self.must_ask_in.is_none() && self.list_failures < 2 {
+            return host.subscribe();
+        }
         let spread = EACH.times(self.shelf.proxies * f64::from(1u32 << self.list_failures.min(8)));
-        let pause = LEAST + spread.min(must_ask_in.times(0.8)).times(self.shelf.luck());
+        let pause = LEAST + spread.min(most).times(self.shelf.luck());
         self.asks_at = Some(now + pause);
         host.wake(now + pause);
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -14,7 +14,7 @@
     fn forfeit(&mut self, circuit: CircuitId);
     /// Ends a standing connection politely; its client comes again as a new circuit.
     fn send_away(&mut self, circuit: CircuitId);
-    /// Asks to be sent every change of the server list from now on.
+    /// Asks to be sent every change of the server list from now on; a host that is sent it unasked does nothing.
     fn subscribe(&mut self);
     /// Has a server give a sign of life; how long that took comes as `probed`. False where it is not allowed.
     fn probe(&mut self, server: &ServerId) -> bool;
--- a/src/record.rs
+++ b/src/record.rs
@@ -180,6 +180,18 @@
     pub proxies: f64,
 }
 
+impl WarmUp {
+    /// How many connections this proxy would hold of what so many servers can.
+    pub(crate) fn part(&self, servers: usize) -> f64 {
+        self.all_hold.unwrap_or(self.each_holds * servers as f64) / self.proxies
+    }
+
+    /// From 0, just started, to 1, warm.
+    pub(crate) fn warmth(&self, server: &Server, now: Point) -> f64 {
+        server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span).min(1.0))
+    }
+}
+
 /// One connect of a circuit.
 pub(crate) struct Connect {
     pub(crate) server: Rc<Server>,
--- a/tests/stories/cold.rs
+++ b/tests/stories/cold.rs
@@ -174,3 +174,39 @@
     let (calm, strained) = (sent(1), sent(35));
     assert!(calm > 10 && strained < 2 * calm, "{strained} beside {calm}");
 }
+
+/// The whole of a zone comes back cold at once, and the clients that it held come to three hundred proxies that were all
+/// told of the start: each cold server has to stay under N + 3 x root of N + 3 connects in its two seconds, N being three
+/// times what fills it over its warm-up at its present strength.
+#[test]
+fn three_hundred_proxies_keep_ten_cold_servers_within_their_bound_when_a_zone_comes_back() {
+    const SERVERS: usize = 81;
+    const COLD: usize = 10;
+    let ids: Vec<_> = (0..SERVERS).map(|i| format!("{}{i:02}", if i < COLD { "z" } else { "a" })).collect();
+    let holds = 30.0;
+    let mut sent = std::collections::BTreeMap::new();
+    for seed in 0..300u64 {
+        let list: Vec<_> = ids.iter().map(|id| server(id)).collect();
+        let part = holds * SERVERS as f64 / 300.0;
+        let mut proxy = Proxy::among(300, Some(part), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), &list);
+        (0..4).for_each(|i| drop(proxy.settles(plain(&format!("early-{seed}-{i}")))));
+        proxy.passes(5000);
+        let started = Some(proxy.now);
+        let back: Vec<_> = ids[..COLD].iter().map(|id| Listed { started, ..server(id) }).collect();
+        proxy.chooser.listed(&back, false, proxy.now);
+        let before = proxy.notes.connects.len();
+        // A burst of what the zone held, and of as many who come anyway.
+        for i in 0..8 {
+            let (key, group) = (format!("back-{seed}-{i}"), format!("bank-{}", (seed + i) % 40));
+            proxy.settles(Arrival { group: Some(&group), returned: i % 2 == 0, ..plain(&key) });
+            proxy.passes(240);
+        }
+        for connect in proxy.notes.connects[before..].iter().filter(|c| c.1.starts_with('z')) {
+            *sent.entry(connect.1.clone()).or_insert(0.0) += 1.0;
+        }
+    }
+    // Two seconds of eight, at three tenths of its strength and somewhat more.
+    let allowed = 3.0 * holds * 2.0 / 8.0 * 0.3;
+    let bound = allowed + 3.0 * f64::sqrt(allowed) + 3.0;
+    assert!(sent.len() > COLD / 2 && sent.values().all(|n| *n <= bound), "{bound} {sent:?}");
+}
