--- a/crates/proxy/tests/sockets/listing.rs
+++ b/crates/proxy/tests/sockets/listing.rs
@@ -122,7 +122,9 @@
     assert!(front.say("PING\r\n").is_quiet(), "nobody is invited yet");
     let mut client = program.opens("lift-1", ",d=3000");
     assert!(client.is_quiet() && old.try_accept().is_none(), "nor placed");
-    call.say(&list(9, true, &[old.entry("terminating"), new.entry("in_service")]));
+    // Lists may come indented.
+    let entries = [old.entry("terminating"), new.entry("in_service")].map(|e| e.replace(',', ",\n    "));
+    call.say(&list(9, true, &entries));
     assert_eq!(front.line(), "PONG");
     let _server = new.serve();
     assert_eq!(client.line(), "UP 0123");
