--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -214,6 +214,7 @@
         patience_ends: line.point("due_ms")?,
         mid_flow: line.flag("stray")?,
         returned: line.flag("returned")?,
+        turn: None,
     })
 }
 
--- /dev/null
+++ b/crates/fleet/src/rights.rs
@@ -0,0 +1,269 @@
+//! Which part of what the fleet may do this process may: so much for each that all together never have more than the
+//! whole, however they are cut off from each other.
+//!
+//! Half of the whole is dealt out for good: each seat has its floor, one part of twice the roster, alone or not. The
+//! other half is a pool of as many units, one for each seat. A unit is held by one process at a time, on leases from a
+//! majority of its witnesses, which are five seats at most, the same at every process. The process of its own seat
+//! holds it while it lives; where it does not, who comes first in an order that all know asks for it. Two majorities of
+//! the same witnesses have one in common, and that one grants a unit to nobody else before the lease that it granted
+//! has run out, by its own clock and some more. A lease counts from when it was asked for, so it is over for who holds
+//! it before it is over for who granted it. A witness that has just begun does not know what it granted before, and
+//! grants nothing for as long as a lease lasts.
+
+use crate::packet::Message;
+use crate::roster::{rank, Life, Seat};
+use shelfgrade::time::{Point, Span};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How long a unit is held without another word: four askings, so that losing three in a row costs nothing.
+pub const LEASE: Span = Span::millis(4000);
+/// What a witness waits beyond that: clocks of two machines do not run apart by a twentieth.
+const MORE: f64 = 1.05;
+/// How often leases are asked for anew.
+pub const RENEW: Span = Span::millis(1000);
+/// Of how many one is enough to lose two.
+const WITNESSES: usize = 5;
+/// How many units one process asks for: what it sends does not grow with what is dead.
+const MOST_UNITS: usize = 8;
+
+/// A unit that this process asks for, with when it asked each witness that has granted it.
+struct Claim {
+    /// The first asking of this claim. Guards against a grant from before a release, which the witness has forgotten.
+    first: u32,
+    granted: BTreeMap<Seat, Point>,
+}
+
+/// What a witness knows of a unit that it granted.
+struct Held {
+    by: Life,
+    since: Point,
+    /// The asking that it was last granted to. Guards against an older release that comes late, or twice.
+    number: u32,
+}
+
+pub struct Rights {
+    me: Life,
+    size: usize,
+    began: Point,
+    /// As a witness: who holds a unit, and since when.
+    held_by: BTreeMap<u16, Held>,
+    claims: BTreeMap<u16, Claim>,
+    /// The last askings, with their numbers.
+    asked: VecDeque<(u32, Point)>,
+    last_number: u32,
+}
+
+impl Rights {
+    pub fn new(me: Life, size: usize, now: Point) -> Self {
+        Rights {
+            me,
+            size,
+            began: now,
+            held_by: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            asked: VecDeque::new(),
+            last_number: 0,
+        }
+    }
+
+    /// This process goes on under another life: what it held under the last one it holds no longer.
+    pub fn renewed(&mut self, me: Life) {
+        self.me = me;
+        self.claims.clear();
+    }
+
+    /// The seats that grant a unit.
+    fn witnesses(&self, unit: u16) -> Vec<Seat> {
+        let mut seats: Vec<_> = (0..self.size as u16).map(Seat).collect();
+        // An odd number: of an even one more than half would be as many.
+        let number = WITNESSES.min(self.size - 1 + self.size % 2);
+        let of = 0x5ea7 + u64::from(unit);
+        if number < seats.len() {
+            seats.select_nth_unstable_by_key(number, |seat| rank(of, *seat));
+            seats.truncate(number);
+        }
+        seats
+    }
+
+    /// The part of the whole that this process may do now, from 0 to 1. Guards against leases that ran out while it
+    /// was stopped: it asks the clock each time.
+    pub fn part(&self, now: Point) -> f64 {
+        let units = self.claims.iter().filter(|(unit, claim)| self.holds(**unit, claim, now)).count();
+        (1 + units) as f64 / (2 * self.size) as f64
+    }
+
+    fn holds(&self, unit: u16, claim: &Claim, now: Point) -> bool {
+        let majority = self.witnesses(unit).len() / 2 + 1;
+        claim.granted.values().filter(|asked| now < **asked + LEASE).count() >= majority
+    }
+
+    /// Asks for the units that this process should hold, as far as it sees who is `alive`, itself included; the
+    /// messages for each witness.
+    pub fn ask(&mut self, alive: &[Seat], now: Point) -> Vec<(Seat, Message)> {
+        // Enough that an answer four leases late still finds its asking.
+        const ASKINGS: usize = 16;
+        let there = |unit: u16| alive.binary_search(&Seat(unit)).is_ok();
+        let first = |unit: u16| alive.iter().min_by_key(|seat| rank(u64::from(unit), **seat));
+        let mine = self.me.seat;
+        let heir = |unit: &u16| !there(*unit) && first(*unit) == Some(&mine);
+        let wanted = std::iter::once(mine.0).chain((0..self.size as u16).filter(heir).take(MOST_UNITS - 1));
+        let wanted: Vec<u16> = wanted.collect();
+        let released: Vec<u16> = self.claims.keys().filter(|unit| !wanted.contains(unit)).copied().collect();
+        released.iter().for_each(|unit| drop(self.claims.remove(unit)));
+        self.last_number += 1;
+        let claim = || Claim { first: self.last_number, granted: BTreeMap::new() };
+        for unit in &wanted {
+            self.claims.entry(*unit).or_insert_with(claim);
+        }
+        self.asked.push_back((self.last_number, now));
+        self.asked.drain(..self.asked.len().saturating_sub(ASKINGS));
+
+        let mut to: BTreeMap<Seat, (Vec<u16>, Vec<u16>)> = BTreeMap::new();
+        for unit in &wanted {
+            self.witnesses(*unit).into_iter().for_each(|seat| to.entry(seat).or_default().0.push(*unit));
+        }
+        for unit in &released {
+            self.witnesses(*unit).into_iter().for_each(|seat| to.entry(seat).or_default().1.push(*unit));
+        }
+        let number = self.last_number;
+        to.into_iter()
+            .map(|(seat, (units, releases))| (seat, Message::Ask { number, units, releases }))
+            .collect()
+    }
+
+    /// As a witness: which of the units asked for are granted.
+    pub fn asked_by(
+        &mut self,
+        holder: Life,
+        number: u32,
+        (units, releases): (&[u16], &[u16]),
+        now: Point,
+    ) -> Vec<u16> {
+        for unit in releases {
+            if self.held_by.get(unit).is_some_and(|held| held.by == holder && held.number < number) {
+                self.held_by.remove(unit);
+            }
+        }
+        let long = LEASE.times(MORE);
+        if now < self.began + long {
+            return Vec::new();
+        }
+        let free = |unit: &u16| {
+            self.witnesses(*unit).contains(&self.me.seat)
+                && self.held_by.get(unit).is_none_or(|held| held.by == holder || now >= held.since + long)
+        };
+        let granted: Vec<u16> = units.iter().filter(|unit| free(unit)).copied().collect();
+        for unit in &granted {
+            let number = self.held_by.get(unit).map_or(number, |held| held.number.max(number));
+            self.held_by.insert(*unit, Held { by: holder, since: now, number });
+        }
+        granted
+    }
+
+    /// A witness has granted these; it counts from when they were asked for.
+    pub fn granted(&mut self, witness: Seat, number: u32, units: &[u16]) {
+        let Some((_, asked)) = self.asked.iter().find(|(asked, _)| *asked == number).copied() else { return };
+        for unit in units {
+            if !self.witnesses(*unit).contains(&witness) {
+                continue;
+            }
+            if let Some(claim) = self.claims.get_mut(unit).filter(|claim| number >= claim.first) {
+                let at = claim.granted.entry(witness).or_insert(asked);
+                *at = (*at).max(asked);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SEATS: usize = 3;
+    const HALF: f64 = 1.0 / (2 * SEATS) as f64;
+
+    fn life(seat: u16, born: u64) -> Life {
+        Life { seat: Seat(seat), born }
+    }
+
+    /// Three seats, each a witness of every unit, an hour after they began.
+    fn three() -> (Vec<Rights>, Point) {
+        let began = Point::from_ms(1000.0);
+        (
+            (0..3).map(|seat| Rights::new(life(seat, 1), SEATS, began)).collect(),
+            began + Span::millis(3_600_000),
+        )
+    }
+
+    fn parts(asked: &[(Seat, Message)], witness: u16) -> Option<(u32, Vec<u16>, Vec<u16>)> {
+        asked.iter().find(|(seat, _)| seat.0 == witness).map(|(_, message)| match message {
+            Message::Ask { number, units, releases } => (*number, units.clone(), releases.clone()),
+            other => panic!("{other:?}"),
+        })
+    }
+
+    /// Has one ask, and those witnesses answer at once.
+    fn asks(all: &mut [Rights], holder: usize, alive: &[u16], witnesses: &[usize], now: Point) {
+        let alive: Vec<_> = alive.iter().copied().map(Seat).collect();
+        let asked = all[holder].ask(&alive, now);
+        let me = all[holder].me;
+        for witness in witnesses {
+            let (number, units, releases) = parts(&asked, *witness as u16).expect("a witness of all");
+            let granted = all[*witness].asked_by(me, number, (&units, &releases), now);
+            all[holder].granted(Seat(*witness as u16), number, &granted);
+        }
+    }
+
+    /// Two of three witnesses that came back from a loss of power granted a unit that the third had granted.
+    #[test]
+    fn a_witness_that_has_just_begun_grants_nothing_that_it_may_have_granted_before() {
+        let (mut all, now) = three();
+        asks(&mut all, 0, &[0, 1, 2], &[0, 1], now);
+        assert_eq!(all[0].part(now), 2.0 * HALF);
+        // The second one is back under another life, and takes the first for dead; so does the third.
+        let soon = now + Span::millis(200);
+        all[1] = Rights::new(life(1, 2), SEATS, soon);
+        let (heir, other) = if rank(0, Seat(1)) < rank(0, Seat(2)) { (1, 2) } else { (2, 1) };
+        asks(&mut all, heir, &[1, 2], &[heir, other], soon);
+        let units =
+            all[heir].claims.keys().filter(|unit| all[heir].holds(**unit, &all[heir].claims[unit], soon));
+        assert!(!units.collect::<Vec<_>>().contains(&&0), "the first one may still use it");
+        let later = now + LEASE.times(3.0);
+        asks(&mut all, heir, &[1, 2], &[heir, other], later);
+        assert!(all[heir].holds(0, &all[heir].claims[&0], later) && all[0].part(later) == HALF);
+    }
+
+    /// A release that came late, after its holder had asked for the unit again, let another one have it too; so did a
+    /// grant from before a release.
+    #[test]
+    fn what_comes_late_neither_takes_a_unit_from_its_holder_nor_gives_it_to_who_let_it_go() {
+        let (mut all, now) = three();
+        let heir = if rank(0, Seat(1)) < rank(0, Seat(2)) { 1 } else { 2 };
+        let ask = |all: &mut Vec<Rights>, alive: &[u16], at: Point| {
+            let alive: Vec<_> = alive.iter().copied().map(Seat).collect();
+            all[heir].ask(&alive, at)
+        };
+        // It asks as the first seat's heir, lets the unit go when that is back, and asks once more when it is gone.
+        let first = ask(&mut all, &[1, 2], now);
+        let release = ask(&mut all, &[0, 1, 2], now);
+        let again = ask(&mut all, &[1, 2], now);
+        let me = all[heir].me;
+        let hand = |all: &mut Vec<Rights>, asked: &[(Seat, Message)], witness: usize| {
+            let (number, units, releases) = parts(asked, witness as u16).expect("a witness");
+            (number, all[witness].asked_by(me, number, (&units, &releases), now))
+        };
+        let late: Vec<_> = [0, 1].map(|witness| (witness, hand(&mut all, &first, witness))).to_vec();
+        for (witness, (number, granted)) in late {
+            all[heir].granted(Seat(witness as u16), number, &granted);
+        }
+        assert!(!all[heir].holds(0, &all[heir].claims[&0], now), "granted before it let go");
+        for witness in [0, 1] {
+            let (number, granted) = hand(&mut all, &again, witness);
+            all[heir].granted(Seat(witness as u16), number, &granted);
+        }
+        assert!(all[heir].holds(0, &all[heir].claims[&0], now));
+        (0..3).for_each(|witness| drop(hand(&mut all, &release, witness)));
+        asks(&mut all, 0, &[0, 1, 2], &[0, 1, 2], now);
+        assert_eq!(all[0].part(now), HALF, "the release was of a time before");
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,106 @@
+//! Who may be part of the fleet: the same names in the same order at every process, for as long as the fleet runs.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A process's place in the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Seat(pub u16);
+
+/// One life of the process in a seat; a later one has a greater number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    pub seat: Seat,
+    /// Microseconds of Unix time at its start, or more.
+    pub born: u64,
+}
+
+/// Why names make no roster.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum RosterFault {
+    #[error("no fellow is named: name every process of the fleet, this one included")]
+    Empty,
+    #[error("{0} fellows: a fleet has {MOST} at most; split it in two")]
+    TooMany(usize),
+    #[error("{0} is named twice: give each process a name of its own")]
+    Twice(String),
+    #[error("this process, {0}, is not among the fellows: add it, at every process")]
+    NotMe(String),
+}
+
+/// As many as a list of all of them still fits in a few datagrams.
+pub const MOST: usize = 1000;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Roster {
+    fleet: String,
+    names: Vec<String>,
+    me: Seat,
+}
+
+impl Roster {
+    pub fn new(fleet: &str, names: impl IntoIterator<Item = String>, me: &str) -> Result<Self, RosterFault> {
+        let mut names: Vec<_> = names.into_iter().collect();
+        names.sort();
+        if names.is_empty() {
+            return Err(RosterFault::Empty);
+        }
+        if names.len() > MOST {
+            return Err(RosterFault::TooMany(names.len()));
+        }
+        if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(RosterFault::Twice(twice[0].clone()));
+        }
+        let seat = names.binary_search_by(|name| name.as_str().cmp(me));
+        let seat = seat.map_err(|_| RosterFault::NotMe(me.to_owned()))?;
+        Ok(Roster { fleet: fleet.to_owned(), names, me: Seat(seat as u16) })
+    }
+
+    pub fn me(&self) -> Seat {
+        self.me
+    }
+
+    pub fn size(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn fleet(&self) -> &str {
+        &self.fleet
+    }
+
+    pub fn name(&self, seat: Seat) -> Option<&str> {
+        self.names.get(usize::from(seat.0)).map(String::as_str)
+    }
+
+    pub fn seats(&self) -> impl Iterator<Item = Seat> {
+        (0..self.names.len() as u16).map(Seat)
+    }
+
+    /// What tells this fleet from others, and from itself with another roster.
+    pub fn tag(&self) -> u64 {
+        self.names
+            .iter()
+            .fold(xxh3_64(self.fleet.as_bytes()), |tag, name| xxh3_64_with_seed(name.as_bytes(), tag))
+    }
+}
+
+/// Where a seat stands in the order of something: the same at every process.
+pub fn rank(of: u64, seat: Seat) -> u64 {
+    xxh3_64_with_seed(&seat.0.to_le_bytes(), of)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_roster_is_the_same_in_any_order_and_says_what_is_wrong_with_it() {
+        let of = |names: &[&str], me| Roster::new("f", names.iter().map(|n| (*n).to_owned()), me);
+        let (one, other) = (of(&["b", "a", "c"], "c").unwrap(), of(&["c", "b", "a"], "a").unwrap());
+        assert_eq!((one.tag(), one.me(), other.me()), (other.tag(), Seat(2), Seat(0)));
+        assert_ne!(one.tag(), of(&["a", "b"], "a").unwrap().tag());
+        assert_eq!(of(&[], "a"), Err(RosterFault::Empty));
+        assert_eq!(of(&["a", "b", "a"], "a"), Err(RosterFault::Twice("a".into())));
+        assert_eq!(of(&["a", "b"], "c"), Err(RosterFault::NotMe("c".into())));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/swim.rs
@@ -0,0 +1,254 @@
+//! Who is there: SWIM with suspicion, by the library `foca`, which does no I/O; rumours of entries ride on its messages.
+
+use crate::map::{Entry, Map, Merged, Version};
+use crate::roster::{Life, Roster, Seat};
+use foca::{
+    AccumulatingRuntime, BroadcastHandler, Config, Foca, Identity, Invalidates, OwnedNotification,
+    PeriodicParams, PostcardCodec, Timer,
+};
+use nanorand::{Rng as _, WyRand};
+use shelfgrade::time::{Point, Span};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::rc::Rc;
+use std::time::Duration;
+
+impl Identity for Life {
+    type Addr = Seat;
+
+    /// Guards against a process that was taken for dead, or whose clock went back, never being believed again: its next
+    /// life is later than any clock is wrong by.
+    fn renew(&self) -> Option<Self> {
+        const LATER: u64 = 6 * 3_600_000_000;
+        Some(Life { seat: self.seat, born: self.born.saturating_add(LATER) })
+    }
+
+    fn addr(&self) -> Seat {
+        self.seat
+    }
+
+    fn win_addr_conflict(&self, other: &Self) -> bool {
+        self.born > other.born
+    }
+}
+
+/// The library's chance, from the given seed.
+struct Dice(WyRand);
+
+impl rand::TryRng for Dice {
+    type Error = Infallible;
+    fn try_next_u32(&mut self) -> Result<u32, Infallible> {
+        Ok(self.0.generate())
+    }
+    fn try_next_u64(&mut self) -> Result<u64, Infallible> {
+        Ok(self.0.generate())
+    }
+    fn try_fill_bytes(&mut self, bytes: &mut [u8]) -> Result<(), Infallible> {
+        self.0.fill(bytes);
+        Ok(())
+    }
+}
+
+/// The map, and what has changed in it since that was last told.
+pub struct Known {
+    pub map: Map,
+    pub fresh: Vec<Entry>,
+    pub over_bound: u64,
+}
+
+impl Known {
+    pub fn merge(&mut self, entry: Entry) -> bool {
+        let merged = self.map.merge(entry.clone());
+        match merged {
+            Merged::News => self.fresh.push(entry),
+            Merged::OverBound => self.over_bound += 1,
+            Merged::Known => {}
+        }
+        merged == Merged::News
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+#[error("an entry that is none")]
+struct NoEntry;
+
+struct Rumour {
+    key: String,
+    version: Version,
+}
+
+impl Invalidates for Rumour {
+    fn invalidates(&self, other: &Self) -> bool {
+        self.key == other.key && self.version >= other.version
+    }
+}
+
+struct Rumours {
+    known: Rc<RefCell<Known>>,
+    seats: usize,
+}
+
+impl BroadcastHandler<Life> for Rumours {
+    type Key = Rumour;
+    type Error = NoEntry;
+
+    fn receive_item(&mut self, data: &[u8], sender: Option<&Life>) -> Result<Option<Rumour>, NoEntry> {
+        let entry: Entry = postcard::from_bytes(data).map_err(|_| NoEntry)?;
+        if usize::from(entry.owner.0) >= self.seats {
+            return Err(NoEntry);
+        }
+        let rumour = Rumour { key: entry.key.clone(), version: entry.version };
+        // What this process says itself stands in its map already.
+        let news = sender.is_none() || self.known.borrow_mut().merge(entry);
+        Ok(news.then_some(rumour))
+    }
+}
+
+pub struct Swim {
+    foca: Foca<Life, PostcardCodec, Dice, Rumours>,
+    runtime: AccumulatingRuntime<Life>,
+    /// What is due when; a number tells apart what is due at once.
+    timers: BTreeMap<(Point, u64), Timer<Life>>,
+    last_timer: u64,
+    me: Life,
+    /// Whom it has not met, in turns.
+    invites: WyRand,
+    next_invite: Point,
+    began: Point,
+}
+
+/// What the membership asks for or tells.
+pub trait Around {
+    fn swim(&mut self, to: Seat, bytes: Vec<u8>);
+    fn came(&mut self, seat: Seat);
+    fn went(&mut self, seat: Seat);
+    /// This process goes on under another life.
+    fn renewed(&mut self, life: Life);
+}
+
+/// One probe a second and a gossip to two twice a second, whatever the fleet's size; a process that answers nobody is
+/// suspected within a second and a half and dead three later. Dead ones are asked again every five seconds, so that two
+/// halves find each other.
+fn config(size: usize) -> Config {
+    let periodic = |ms, members| {
+        let num_members = NonZeroUsize::new(members).unwrap_or(NonZeroUsize::MIN);
+        Some(PeriodicParams { frequency: Duration::from_millis(ms), num_members })
+    };
+    // A rumour has reached all when each has told it to so many: four times the logarithm is the library's figure.
+    let transmissions = (4.0 * (size as f64 + 1.0).log10()).ceil() as u8;
+    Config {
+        probe_period: Duration::from_millis(1000),
+        probe_rtt: Duration::from_millis(400),
+        max_transmissions: NonZeroU8::new(transmissions).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: Duration::from_secs(3),
+        remove_down_after: Some(Duration::from_secs(3600)),
+        max_packet_size: NonZeroUsize::new(1200).unwrap_or(NonZeroUsize::MIN),
+        notify_down_members: true,
+        periodic_announce: periodic(10_000, 1),
+        periodic_announce_to_down_members: periodic(5000, 1),
+        periodic_gossip: periodic(500, 2),
+        ..Config::simple()
+    }
+}
+
+impl Swim {
+    pub fn new(me: Life, roster: &Roster, known: Rc<RefCell<Known>>, seed: u64, now: Point) -> Self {
+        let rumours = Rumours { known, seats: roster.size() };
+        let dice = Dice(WyRand::new_seed(seed));
+        Swim {
+            foca: Foca::with_custom_broadcast(me, config(roster.size()), dice, PostcardCodec, rumours),
+            runtime: AccumulatingRuntime::new(),
+            timers: BTreeMap::new(),
+            last_timer: 0,
+            me,
+            invites: WyRand::new_seed(seed ^ 0x1f),
+            next_invite: now,
+            began: now,
+        }
+    }
+
+    /// Who is there, this process included, in the order of the roster.
+    pub fn alive(&self) -> Vec<Seat> {
+        let mut seats: Vec<_> = self.foca.iter_members().map(|member| member.id().seat).collect();
+        seats.push(self.me.seat);
+        seats.sort_unstable();
+        seats.dedup();
+        seats
+    }
+
+    /// Hands on a rumour of an entry that was written here, or found elsewhere by comparing.
+    pub fn spread(&mut self, entry: &Entry) {
+        if let Ok(bytes) = postcard::to_stdvec(entry) {
+            // One too long for a message is left to comparing.
+            let _ = self.foca.add_broadcast(&bytes);
+        }
+    }
+
+    /// True where the message could be read.
+    pub fn heard(&mut self, bytes: &[u8], now: Point, around: &mut impl Around) -> bool {
+        let read = self.foca.handle_data(bytes, &mut self.runtime).is_ok();
+        self.settle(now, around);
+        read
+    }
+
+    pub fn woke(&mut self, now: Point, roster: &Roster, around: &mut impl Around) {
+        while let Some(due) = self.timers.first_entry().filter(|due| due.key().0 <= now) {
+            let timer = due.remove();
+            // A timer that the library no longer knows is none of its concern.
+            let _ = self.foca.handle_timer(timer, &mut self.runtime);
+            self.settle(now, around);
+        }
+        if now >= self.next_invite {
+            self.invite(now, roster, around);
+        }
+    }
+
+    /// Guards against a fleet that never finds together: those that were not met are asked, by their seats alone, often
+    /// in the first seconds.
+    fn invite(&mut self, now: Point, roster: &Roster, around: &mut impl Around) {
+        const EARLY: Span = Span::millis(5000);
+        let (pause, most) =
+            if now.since(self.began) < EARLY { (Span::millis(300), 3) } else { (Span::millis(3000), 1) };
+        self.next_invite = now + pause;
+        let alive = self.alive();
+        let unmet: Vec<Seat> = roster.seats().filter(|seat| alive.binary_search(seat).is_err()).collect();
+        for _ in 0..most.min(unmet.len()) {
+            let seat = unmet[self.invites.generate_range(0..unmet.len())];
+            let _ = self.foca.announce(Life { seat, born: 0 }, &mut self.runtime);
+        }
+        self.settle(now, around);
+    }
+
+    pub fn next(&self) -> Point {
+        self.timers.first_key_value().map_or(self.next_invite, |first| first.0 .0.min(self.next_invite))
+    }
+
+    pub fn leave(&mut self, now: Point, around: &mut impl Around) {
+        let _ = self.foca.leave_cluster(&mut self.runtime);
+        self.settle(now, around);
+    }
+
+    fn settle(&mut self, now: Point, around: &mut impl Around) {
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            self.last_timer += 1;
+            let at = now + Span::from_ms(after.as_secs_f64() * 1000.0);
+            self.timers.insert((at, self.last_timer), timer);
+        }
+        while let Some((to, bytes)) = self.runtime.to_send() {
+            around.swim(to.seat, bytes.to_vec());
+        }
+        while let Some(news) = self.runtime.to_notify() {
+            match news {
+                OwnedNotification::MemberUp(member) => around.came(member.seat),
+                OwnedNotification::MemberDown(member) => around.went(member.seat),
+                OwnedNotification::Rejoin(life) => {
+                    self.me = life;
+                    around.renewed(life);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -318,5 +318,6 @@
         patience_ends,
         mid_flow: opening.mid_flow,
         returned: opening.returned,
+        turn: None,
     }
 }
--- /dev/null
+++ b/crates/recovery/src/asking.rs
@@ -0,0 +1,165 @@
+//! Who asks discovery: a few for all. The others have the list from them, and step in where they are gone.
+//!
+//! The order of the seats is the same at every process. After a loss of power nobody knows who is there, so at first
+//! the first few of all seats ask; once the fellows had time to be heard, the first few of those that are there do. The
+//! number of calls is so many for each of these moments, whatever the number of processes.
+
+use shelfgrade::time::{Point, Span};
+use shelfgrade_fleet::{rank, Seat};
+use std::collections::BTreeMap;
+
+/// How many ask: one may die as another is stopped, and there is still the list.
+pub const ASKERS: usize = 3;
+/// How long fellows have to be heard before a process goes by whom it sees: membership invites three of them three times
+/// a second.
+pub const HEARD_BY: Span = Span::millis(2000);
+/// A beat that has not gone on for this long is of one that asks no more: they come once a second, and rumours take some
+/// seconds in a large fleet.
+pub const FRESH: Span = Span::millis(5000);
+
+/// What an asker tells all once a second.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Beat {
+    /// Goes up with each beat, and from one life of the asker to the next.
+    pub number: u64,
+    /// What the list came to there: the count, the version and a digest of all lines.
+    pub epoch: u64,
+    pub seq: u64,
+    pub digest: u32,
+    /// Discovery has answered it within the last few seconds.
+    pub answered: bool,
+}
+
+/// How many may ask where the first ones have no answer, which may be the way there or discovery itself.
+const AT_MOST: usize = 3 * ASKERS;
+
+pub struct Asking {
+    me: Seat,
+    /// The seats in the order in which they ask.
+    order: Vec<Seat>,
+    began: Point,
+    beats: BTreeMap<Seat, (Beat, Option<Point>)>,
+    unanswered_since: BTreeMap<Seat, Point>,
+}
+
+impl Asking {
+    /// `fleet`: the roster's tag, so that fleets have orders of their own.
+    pub fn new(me: Seat, seats: impl Iterator<Item = Seat>, fleet: u64, now: Point) -> Self {
+        let mut order: Vec<_> = seats.collect();
+        order.sort_by_key(|seat| rank(fleet, *seat));
+        Asking { me, order, began: now, beats: BTreeMap::new(), unanswered_since: BTreeMap::new() }
+    }
+
+    /// Whether this process is to ask discovery, by those that it sees.
+    pub fn is_asker(&self, alive: &[Seat], now: Point) -> bool {
+        let early = now.since(self.began) < HEARD_BY;
+        let there = |seat: &Seat| early || *seat == self.me || alive.binary_search(seat).is_ok();
+        let mut first = self.order.iter().copied().filter(there).take(AT_MOST);
+        let mut asks = first.by_ref().take(ASKERS);
+        asks.any(|seat| seat == self.me) || self.unanswered(alive, now) && first.any(|seat| seat == self.me)
+    }
+
+    /// Whether all that ask for this one have said for a while that they get no answer.
+    fn unanswered(&self, alive: &[Seat], now: Point) -> bool {
+        let there = |seat: &&Seat| alive.binary_search(seat).is_ok();
+        let since = |seat: &Seat| self.unanswered_since.get(seat).copied();
+        let mut first = self.order.iter().filter(there).take(ASKERS);
+        first.all(|seat| since(seat).is_some_and(|at| now.since(at) > FRESH))
+    }
+
+    /// A beat was heard. Guards against taking one that was kept from before for a sign of life: it counts when it goes
+    /// on, and what this process has heard at its start does not.
+    pub fn heard(&mut self, from: Seat, beat: Beat, now: Point) {
+        let held = self.beats.get(&from);
+        if held.is_some_and(|held| beat.number <= held.0.number) {
+            return;
+        }
+        if beat.answered {
+            self.unanswered_since.remove(&from);
+        } else {
+            self.unanswered_since.entry(from).or_insert(now);
+        }
+        let goes_on = held.is_some().then_some(now);
+        self.beats.insert(from, (beat, goes_on));
+    }
+
+    /// The newest beat of an asker that discovery answers.
+    pub fn fresh(&self, now: Point) -> Option<&Beat> {
+        let goes_on = |at: Option<Point>| at.is_some_and(|at| now.since(at) < FRESH);
+        let fresh = self.beats.values().filter(|(beat, at)| beat.answered && goes_on(*at));
+        fresh.map(|(beat, _)| beat).max_by_key(|beat| (beat.epoch, beat.seq, beat.number))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: f64) -> Point {
+        Point::from_ms(1000.0 + ms)
+    }
+
+    fn all(size: u16) -> Vec<Asking> {
+        let of = |me| Asking::new(Seat(me), (0..size).map(Seat), 99, at(0.0));
+        (0..size).map(of).collect()
+    }
+
+    fn askers(all: &[Asking], alive: &[Seat], now: Point) -> Vec<Seat> {
+        all.iter()
+            .filter(|one| alive.contains(&one.me) && one.is_asker(alive, now))
+            .map(|one| one.me)
+            .collect()
+    }
+
+    /// After a loss of power every process asked discovery, each for itself.
+    #[test]
+    fn a_few_ask_for_all_whatever_their_number_and_others_step_in_where_those_are_gone() {
+        for size in [3, 40, 300] {
+            let all = all(size);
+            let none = |one: &Asking| vec![one.me];
+            let at_once = all.iter().filter(|one| one.is_asker(&none(one), at(0.0))).count();
+            assert_eq!(at_once, ASKERS, "nobody has heard of anybody");
+            let alive: Vec<_> = (0..size).map(Seat).collect();
+            let first = askers(&all, &alive, at(3000.0));
+            assert_eq!(first.len(), ASKERS);
+            let left: Vec<_> = alive.into_iter().filter(|seat| !first.contains(seat)).collect();
+            let next = askers(&all, &left, at(3000.0));
+            assert_eq!(next.len(), ASKERS.min(left.len()));
+        }
+    }
+
+    #[test]
+    fn where_discovery_answers_no_asker_some_more_try_and_no_more_than_some() {
+        let mut all = all(300);
+        let alive: Vec<_> = (0..300).map(Seat).collect();
+        let first = askers(&all, &alive, at(3000.0));
+        let tell = |all: &mut Vec<Asking>, answered, number, now| {
+            for one in all.iter_mut() {
+                for from in &first {
+                    one.heard(*from, Beat { number, epoch: 1, seq: 4, digest: 7, answered }, now);
+                }
+            }
+        };
+        tell(&mut all, false, 1, at(4000.0));
+        assert_eq!(askers(&all, &alive, at(5000.0)).len(), ASKERS);
+        tell(&mut all, false, 2, at(10_000.0));
+        assert_eq!(askers(&all, &alive, at(10_000.0)).len(), AT_MOST);
+        assert!(all[0].fresh(at(10_000.0)).is_none(), "nobody has had an answer");
+        tell(&mut all, true, 3, at(11_000.0));
+        assert_eq!(askers(&all, &alive, at(11_000.0)).len(), ASKERS);
+        assert!(all[0].fresh(at(11_000.0)).is_some() && all[0].fresh(at(17_000.0)).is_none());
+    }
+
+    /// What a process had kept of an asker's beats from before the power went looked like an asker that is there.
+    #[test]
+    fn a_beat_from_before_is_no_sign_of_life() {
+        let mut one = all(3).remove(0);
+        let beat = |number| Beat { number, epoch: 1, seq: 4, digest: 7, answered: true };
+        one.heard(Seat(1), beat(900), at(0.0));
+        one.heard(Seat(1), beat(900), at(1000.0));
+        one.heard(Seat(1), beat(899), at(1000.0));
+        assert!(one.fresh(at(1000.0)).is_none());
+        one.heard(Seat(1), beat(901), at(2000.0));
+        assert!(one.fresh(at(2000.0)).is_some());
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/counting.rs
@@ -0,0 +1,95 @@
+//! Whether a list is newer than the one held: discovery counts its versions up, but one that was itself restarted may
+//! count from 1 again, and one that was restored may tell an old list.
+//!
+//! Versions are kept with the count that they are of, and with what the list was at each of the last ones. A whole list
+//! with a lower version, or with the same one and other lines, is an older one only where it is just what was told
+//! under that version; else it is of another count, which is newer than all of the last. Of a new count the first list
+//! takes nothing back that was known of a server since its start: one that drained then drains still, until a later
+//! change says otherwise.
+
+use serde::{Deserialize, Serialize};
+
+/// How many versions' lists are remembered; with eight bytes each they fit in one entry.
+pub const REMEMBERED: usize = 64;
+
+/// What all know of the list: the count, the version reached, and what it was at the last ones.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counting {
+    /// Counts up with each new count of discovery's.
+    pub epoch: u64,
+    pub seq: u64,
+    /// Versions and a digest of the list at each, the oldest first.
+    pub past: Vec<(u64, u32)>,
+}
+
+/// What a list is to the one held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// Of the same count, and not older.
+    Goes,
+    /// One that was told before: it is not taken.
+    Older,
+    /// Of another count, which begins with it.
+    Anew,
+}
+
+impl Counting {
+    /// Judges a whole list by its version and its digest.
+    pub fn judge(&self, seq: u64, digest: u32) -> Told {
+        if self.epoch == 0 {
+            return Told::Anew;
+        }
+        let then = self.past.iter().find(|past| past.0 == seq).map(|past| past.1);
+        match then {
+            _ if seq > self.seq => Told::Goes,
+            Some(then) if then == digest && seq == self.seq => Told::Goes,
+            Some(then) if then == digest => Told::Older,
+            _ => Told::Anew,
+        }
+    }
+
+    /// A list was taken.
+    pub fn took(&mut self, told: Told, seq: u64, digest: u32) {
+        if told == Told::Anew {
+            self.epoch += 1;
+            self.past.clear();
+        }
+        self.seq = seq;
+        self.past.retain(|past| past.0 != seq);
+        self.past.push((seq, digest));
+        self.past.drain(..self.past.len().saturating_sub(REMEMBERED));
+    }
+
+    /// The version of a server's line in what all share: any of a later count is newer than all of an earlier one.
+    pub fn stamp(&self, seq: u64) -> u64 {
+        const SEQS: u64 = 1 << 40;
+        self.epoch * SEQS + seq.min(SEQS - 1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_older_list_is_not_gone_back_to_and_a_discovery_that_counts_from_one_again_is_believed() {
+        let mut counting = Counting::default();
+        assert_eq!(counting.judge(41, 7), Told::Anew, "nothing is known");
+        counting.took(Told::Anew, 41, 7);
+        for (seq, digest) in [(42, 8), (45, 9)] {
+            assert_eq!(counting.judge(seq, digest), Told::Goes);
+            counting.took(Told::Goes, seq, digest);
+        }
+        assert_eq!(counting.judge(45, 9), Told::Goes, "told again");
+        assert_eq!(counting.judge(42, 8), Told::Older, "restored as it was");
+        assert_eq!(counting.judge(42, 3), Told::Anew, "it was another list under that number");
+        assert_eq!(counting.judge(45, 3), Told::Anew);
+        let before = counting.stamp(45);
+        assert_eq!(counting.judge(1, 5), Told::Anew);
+        counting.took(Told::Anew, 1, 5);
+        assert!(counting.stamp(1) > before && counting.judge(2, 6) == Told::Goes);
+        assert_eq!(counting.judge(45, 9), Told::Goes, "of the new count it is only far ahead");
+        (2..200).for_each(|seq| counting.took(Told::Goes, seq, 1));
+        assert_eq!((counting.past.len(), counting.judge(100, 1)), (REMEMBERED, Told::Anew));
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/order.rs
@@ -0,0 +1,273 @@
+//! In which order service comes back: the list, then rooms at cold servers, then circuits by what is owed first.
+//!
+//! The decision module goes on saying which server, whether to try again and what is turned away. It is handed, for each
+//! circuit, the part of the crowd that goes before it and a time to come again, and lets a cold server have those that
+//! come before its share of the crowd is used up.
+
+use shelfgrade::host::Turn;
+use shelfgrade::time::{Point, Span};
+use std::collections::VecDeque;
+
+/// The states of a return, in their order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// The list has yet to be agreed, and a bound on the wait for it to pass.
+    Waiting,
+    /// Servers are cold: circuits are let in as rooms come up.
+    Warming,
+    /// All as ever.
+    Serving,
+}
+
+impl State {
+    /// As the log has it.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Waiting => "waiting for the list",
+            State::Warming => "letting clients in as servers warm up",
+            State::Serving => "serving",
+        }
+    }
+}
+
+/// What an offering is owed.
+#[derive(Debug, Clone, Copy)]
+pub struct Owed {
+    pub soft_limit: Option<Span>,
+    /// Benefit of a connection's second; any unit, the same for all.
+    pub benefit: f64,
+}
+
+/// How long what came counts as the crowd: as long as the module's own.
+const CROWD: Span = Span::millis(2000);
+/// The most arrivals that are remembered.
+const SAMPLES: usize = 4096;
+/// A customer that has had less than this part of its share of what was let in goes first. Guards against one whose
+/// offerings are all owed later getting nothing at all; half leaves room for what is owed first.
+const SURE: f64 = 0.5;
+
+struct Came {
+    at: Point,
+    offering: Option<usize>,
+    customer: Option<usize>,
+    let_in: bool,
+}
+
+pub struct Return {
+    state: State,
+    until: Point,
+    offerings: Vec<Owed>,
+    /// Shares of the customers, by their places in the settings.
+    shares: Vec<f64>,
+    warm_up: Span,
+    most_pause: Span,
+    warm_at: Option<Point>,
+    came: VecDeque<Came>,
+}
+
+impl Return {
+    /// `wait`: how long the list is waited for. `warm_up`: how long a server takes to be warm. `most_pause`: the longest
+    /// that a client stays away when told to.
+    pub fn new(
+        offerings: Vec<Owed>,
+        shares: Vec<f64>,
+        (wait, warm_up, most_pause): (Span, Span, Span),
+        now: Point,
+    ) -> Self {
+        Return {
+            state: State::Waiting,
+            until: now + wait,
+            offerings,
+            shares,
+            warm_up,
+            most_pause,
+            warm_at: None,
+            came: VecDeque::new(),
+        }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// The list is agreed, or the bound on the wait has passed: `starts` are those of the servers that may be sent to.
+    pub fn list_is_here(&mut self, starts: impl Iterator<Item = Option<Point>>, now: Point) {
+        let warm = starts.flatten().map(|start| start + self.warm_up).filter(|warm| *warm > now);
+        self.warm_at = warm.max();
+        self.state = if self.warm_at.is_some() { State::Warming } else { State::Serving };
+    }
+
+    /// True where the bound on the wait for the list has passed just now, and what is known has to do.
+    pub fn waited(&self, now: Point) -> bool {
+        self.state == State::Waiting && now >= self.until
+    }
+
+    /// Looks at the clock; true where the state has changed.
+    pub fn woke(&mut self, now: Point) -> bool {
+        let over = self.state == State::Warming && self.warm_at.is_none_or(|warm| now >= warm);
+        if over {
+            self.state = State::Serving;
+            self.came.clear();
+        }
+        over
+    }
+
+    /// A circuit has come: its turn, or none where all is as ever. `key` is any number of the client's, by which those
+    /// that are owed alike take turns; `luck` is from 0 to 1.
+    pub fn turn(
+        &mut self,
+        (offering, customer): (Option<usize>, Option<usize>),
+        key: u64,
+        luck: f64,
+        now: Point,
+    ) -> Option<Turn> {
+        let past = self.came.iter().take_while(|came| now.since(came.at) > CROWD).count();
+        self.came.drain(..past);
+        if self.state == State::Serving {
+            return None;
+        }
+        let before = match self.state {
+            // Beyond the whole crowd: nobody is let in.
+            State::Waiting => 2.0,
+            _ => self.before(offering, customer, key),
+        };
+        self.came.push_back(Came { at: now, offering, customer, let_in: false });
+        self.came.drain(..self.came.len().saturating_sub(SAMPLES));
+        Some(Turn { before, again: self.again(luck, now) })
+    }
+
+    /// The circuit that came last was let in.
+    pub fn let_in(&mut self) {
+        self.came.back_mut().into_iter().for_each(|came| came.let_in = true);
+    }
+
+    /// The part of the crowd that goes before such a circuit, from 0 to 1.
+    fn before(&self, offering: Option<usize>, customer: Option<usize>, key: u64) -> f64 {
+        if self.is_sure(customer) {
+            return 0.0;
+        }
+        let mine = self.rank(offering);
+        let earlier = self.came.iter().filter(|came| self.rank(came.offering) < mine).count() as f64;
+        let alike = self.came.iter().filter(|came| self.rank(came.offering) == mine).count() as f64 + 1.0;
+        // Who is owed alike takes turns by key, so that no client gets in by asking often.
+        let place = (key >> 11) as f64 / (1u64 << 53) as f64;
+        (earlier + alike * place) / (self.came.len() as f64 + 1.0)
+    }
+
+    /// The tightest soft limit first, then the highest benefit; what is not known comes last.
+    fn rank(&self, offering: Option<usize>) -> (u64, i64) {
+        let owed = offering.and_then(|o| self.offerings.get(o));
+        let limit = owed.and_then(|o| o.soft_limit).map_or(u64::MAX, |limit| (limit.as_ms() * 1000.0) as u64);
+        (limit, owed.map_or(0, |o| -(o.benefit * 1000.0) as i64))
+    }
+
+    fn is_sure(&self, customer: Option<usize>) -> bool {
+        let Some((customer, share)) = customer.and_then(|c| Some((c, *self.shares.get(c)?))) else {
+            return false;
+        };
+        let let_in = self.came.iter().filter(|came| came.let_in);
+        let (all, its) = let_in.fold((0.0, 0.0), |(all, its), came| {
+            (all + 1.0, its + f64::from(u8::from(came.customer == Some(customer))))
+        });
+        // Before anybody was let in nobody has had less than its share.
+        all > 0.0 && its < SURE * share * all
+    }
+
+    /// When to come again: some time while the servers warm up, so that the crowd is spread over that.
+    fn again(&self, luck: f64, now: Point) -> Span {
+        const LEAST: Span = Span::millis(100);
+        let left = match self.state {
+            State::Waiting => self.until.since(now) + self.warm_up,
+            _ => self.warm_at.map_or(Span::default(), |warm| warm.since(now)),
+        };
+        LEAST + left.min(self.most_pause.times(0.95)).times(luck)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    const ALARM: usize = 0;
+    const FAULT: usize = 1;
+    const STATUS: usize = 2;
+
+    fn at(ms: u64) -> Point {
+        Point::from_ms(ms as f64)
+    }
+
+    fn returning() -> Return {
+        let owed = |ms, benefit| Owed { soft_limit: Some(Span::millis(ms)), benefit };
+        let offerings = vec![owed(300, 3.0), owed(500, 5.0), owed(800, 3.0)];
+        let spans = (Span::millis(2000), Span::millis(8000), Span::millis(2000));
+        Return::new(offerings, vec![0.6, 0.3, 0.1], spans, at(1000))
+    }
+
+    fn key(i: u64) -> u64 {
+        i.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+
+    #[test]
+    fn states_follow_each_other_and_a_process_that_finds_warm_servers_serves_at_once() {
+        let mut back = returning();
+        assert_eq!(back.state(), State::Waiting);
+        assert!(back.turn((Some(ALARM), None), 1, 0.5, at(1500)).is_some_and(|turn| turn.before > 1.0));
+        assert!(!back.waited(at(2900)) && back.waited(at(3000)));
+        back.list_is_here([None, Some(at(1200))].into_iter(), at(1600));
+        assert_eq!(back.state(), State::Warming);
+        assert!(!back.woke(at(9100)) && back.woke(at(9200)));
+        assert_eq!((back.state(), back.turn((Some(ALARM), None), 1, 0.5, at(9300))), (State::Serving, None));
+        let mut other = returning();
+        other.list_is_here([None, Some(at(0))].into_iter(), at(8100));
+        assert_eq!(other.state(), State::Serving);
+    }
+
+    /// After a loss of power whoever drew well was let in: as many who look at a status as who press an alarm.
+    #[test]
+    fn the_tightest_limit_goes_first_and_of_those_alike_all_have_the_same_chance() {
+        let mut back = returning();
+        back.list_is_here([Some(at(1000))].into_iter(), at(1100));
+        // A third of each, and room for a third of all.
+        let mut in_by: BTreeMap<usize, usize> = BTreeMap::new();
+        for i in 0..900u64 {
+            let offering = [STATUS, ALARM, FAULT][(i % 3) as usize];
+            let turn = back.turn((Some(offering), None), key(i), 0.5, at(1100 + i)).expect("a turn");
+            if i >= 300 && turn.before <= 1.0 / 3.0 {
+                *in_by.entry(offering).or_default() += 1;
+            }
+        }
+        assert!(in_by[&ALARM] > 180 && in_by.get(&FAULT).copied().unwrap_or(0) < 20, "{in_by:?}");
+        assert_eq!(in_by.get(&STATUS), None);
+    }
+
+    #[test]
+    fn a_customer_whose_offerings_are_all_owed_last_still_has_a_part_of_its_share() {
+        let mut back = returning();
+        back.list_is_here([Some(at(1000))].into_iter(), at(1100));
+        let (mut all, mut its) = (0.0, 0.0);
+        for i in 0..2000u64 {
+            let (offering, customer) = if i % 4 == 0 { (STATUS, 1) } else { (ALARM, 0) };
+            let turn =
+                back.turn((Some(offering), Some(customer)), key(i), 0.5, at(1100 + i)).expect("a turn");
+            if turn.before <= 0.25 {
+                back.let_in();
+                all += 1.0;
+                its += f64::from(u8::from(customer == 1));
+            }
+        }
+        assert!((0.12..=0.2).contains(&(its / all)), "{its} of {all}, and its share is three tenths");
+    }
+
+    #[test]
+    fn the_crowd_is_told_to_come_again_over_the_warm_up() {
+        let mut back = returning();
+        let again =
+            |back: &mut Return, luck, ms| back.turn((None, None), 1, luck, at(ms)).expect("a turn").again;
+        assert_eq!(again(&mut back, 1.0, 1100), Span::millis(2000), "no longer than a client keeps to");
+        back.list_is_here([Some(at(1000))].into_iter(), at(1200));
+        let spread: Vec<_> = (0..=10).map(|i| again(&mut back, f64::from(i) / 10.0, 1300).as_ms()).collect();
+        assert!(spread.windows(2).all(|pair| pair[1] - pair[0] > 150.0), "{spread:?}");
+        assert!(again(&mut back, 1.0, 8800) < Span::millis(400), "at the end of it there is little left");
+    }
+}
--- /dev/null
+++ b/crates/recovery/src/snapshot.rs
@@ -0,0 +1,217 @@
+//! The file that outlives a process: two generations, each with a checksum, the format's version, and whose it is.
+
+use serde::{Deserialize, Serialize};
+use shelfgrade_fleet::Entry;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// The format that is written; an older one could be read, a newer one cannot.
+pub const FORMAT: u16 = 1;
+/// How many files there are: while one is written the other is whole.
+pub const GENERATIONS: usize = 2;
+const MAGIC: [u8; 8] = *b"SHELFGRD";
+const HEAD: usize = MAGIC.len() + 2 + 8 + 16;
+/// Far more than all that is kept takes.
+const LONGEST: usize = 64 << 20;
+
+/// What is kept.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Saved {
+    /// Whose it is.
+    pub fleet: String,
+    pub name: String,
+    /// Counts up with each writing.
+    pub number: u64,
+    /// Unix time by the clock of the machine that wrote it, in milliseconds; for the log, nothing is decided by it.
+    pub at_ms: u64,
+    /// The greatest number that a life of this process has had.
+    pub born: u64,
+    /// All that the fleet shares, deleted entries included.
+    pub entries: Vec<Entry>,
+    /// Where connections stood.
+    pub held: Vec<Held>,
+}
+
+/// A client key's hash, the server that holds its connection, and that server's start, in Unix milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    pub key: u64,
+    pub server: String,
+    pub started_ms: f64,
+}
+
+/// Why a file is not used. The process starts without it, and asks its fellows and discovery.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SnapshotFault {
+    #[error("empty: the power went as it was made, or the disk is full; it is written anew")]
+    Empty,
+    #[error(
+        "torn at {held} of {wanted} bytes: the power went as it was written; the other generation serves"
+    )]
+    Torn { held: usize, wanted: usize },
+    #[error("no snapshot: something else has this name; see that `state_dir` is this process's alone")]
+    NotOne,
+    #[error("damaged: its checksum does not match; see the disk. It is written anew")]
+    Damaged,
+    #[error(
+        "of format {0}, where this program reads {FORMAT} at most: start the newer program, or go without it"
+    )]
+    Newer(u16),
+    #[error("of the fleet {0}: each fleet needs a `state_dir` of its own")]
+    Foreign(String),
+    #[error("of the process {0}: a copied disk? Each process needs a `state_dir` of its own")]
+    Fellows(String),
+}
+
+pub fn write(saved: &Saved) -> Vec<u8> {
+    // What is kept is made of numbers, texts and lists: it has no way to fail.
+    let body = postcard::to_stdvec(saved).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.extend(MAGIC);
+    bytes.extend(FORMAT.to_le_bytes());
+    bytes.extend((body.len() as u64).to_le_bytes());
+    bytes.extend(xxh3_128(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+pub fn read(bytes: &[u8], fleet: &str, name: &str) -> Result<Saved, SnapshotFault> {
+    if bytes.is_empty() {
+        return Err(SnapshotFault::Empty);
+    }
+    let known = bytes.len().min(MAGIC.len());
+    if bytes[..known] != MAGIC[..known] {
+        return Err(SnapshotFault::NotOne);
+    }
+    let torn = |wanted| SnapshotFault::Torn { held: bytes.len(), wanted };
+    let Some((head, body)) = bytes.split_at_checked(HEAD) else { return Err(torn(HEAD)) };
+    let format = u16::from_le_bytes([head[8], head[9]]);
+    if format > FORMAT {
+        return Err(SnapshotFault::Newer(format));
+    }
+    let length = head[10..18].try_into().map_or(u64::MAX, u64::from_le_bytes);
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    if length > LONGEST {
+        return Err(SnapshotFault::Damaged);
+    }
+    if body.len() < length {
+        return Err(torn(HEAD + length));
+    }
+    let sum = head[18..].try_into().map_or(0, u128::from_le_bytes);
+    let body = &body[..length];
+    if xxh3_128(body) != sum {
+        return Err(SnapshotFault::Damaged);
+    }
+    let saved: Saved = postcard::from_bytes(body).map_err(|_| SnapshotFault::Damaged)?;
+    if saved.fleet != fleet {
+        return Err(SnapshotFault::Foreign(saved.fleet));
+    }
+    if saved.name != name {
+        return Err(SnapshotFault::Fellows(saved.name));
+    }
+    Ok(saved)
+}
+
+/// Of two generations the newer one that can be used, and what is wrong with the others; a file that is not there is
+/// no fault.
+pub fn newest(
+    files: &[Option<Vec<u8>>],
+    fleet: &str,
+    name: &str,
+) -> (Option<Saved>, Vec<(usize, SnapshotFault)>) {
+    let mut best: Option<Saved> = None;
+    let mut faults = Vec::new();
+    for (generation, bytes) in files.iter().enumerate().filter_map(|(i, bytes)| Some((i, bytes.as_ref()?))) {
+        match read(bytes, fleet, name) {
+            Ok(saved) if best.as_ref().is_none_or(|best| saved.number > best.number) => best = Some(saved),
+            Ok(_) => {}
+            Err(fault) => faults.push((generation, fault)),
+        }
+    }
+    (best, faults)
+}
+
+/// Which file a writing goes to: never the one that holds the last good state.
+pub fn generation(number: u64) -> usize {
+    (number % GENERATIONS as u64) as usize
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+    use shelfgrade_fleet::{Seat, Version};
+
+    fn saved(number: u64) -> Saved {
+        let entry = |i: u64| Entry {
+            key: format!("server/s-{i}"),
+            version: Version { count: i, by: 7 },
+            owner: Seat(1),
+            value: (!i.is_multiple_of(3)).then(|| vec![i as u8; 40]),
+        };
+        Saved {
+            fleet: "dar".into(),
+            name: "n3".into(),
+            number,
+            at_ms: 1_790_000_000_000,
+            born: 17,
+            entries: (0..number + 3).map(entry).collect(),
+            held: vec![Held { key: 5, server: "s-1".into(), started_ms: 12.5 }],
+        }
+    }
+
+    #[test]
+    fn each_fault_of_a_file_is_told_from_the_others_and_the_other_generation_serves() {
+        let good = write(&saved(4));
+        let fault = |bytes: &[u8]| read(bytes, "dar", "n3").expect_err("a fault");
+        assert_eq!(read(&good, "dar", "n3"), Ok(saved(4)));
+        assert_eq!(fault(&[]), SnapshotFault::Empty);
+        assert!(matches!(fault(&good[..good.len() - 1]), SnapshotFault::Torn { .. }));
+        assert!(matches!(fault(&good[..20]), SnapshotFault::Torn { .. }));
+        assert_eq!(fault(b"{\"json\":1}"), SnapshotFault::NotOne);
+        let mut newer = good.clone();
+        newer[8] = 9;
+        assert_eq!(fault(&newer), SnapshotFault::Newer(9));
+        let mut damaged = good.clone();
+        *damaged.last_mut().expect("bytes") ^= 1;
+        assert_eq!(fault(&damaged), SnapshotFault::Damaged);
+        let whose = |fleet, name| read(&good, fleet, name).expect_err("another's");
+        assert_eq!(whose("moshi", "n3"), SnapshotFault::Foreign("dar".into()));
+        assert_eq!(whose("dar", "n4"), SnapshotFault::Fellows("n3".into()));
+
+        let later = write(&saved(5));
+        let (best, faults) = newest(&[Some(good.clone()), Some(later.clone())], "dar", "n3");
+        assert_eq!((best, faults), (Some(saved(5)), Vec::new()));
+        let (best, faults) = newest(&[Some(good), Some(later[..40].to_vec())], "dar", "n3");
+        assert_eq!((best, faults.len(), faults[0].0), (Some(saved(4)), 1, 1));
+        assert_eq!(newest(&[None, None], "dar", "n3"), (None, Vec::new()), "a first start is no fault");
+        assert_ne!(generation(4), generation(5), "never over the last good one");
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            rng_seed: RngSeed::Fixed(17),
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        })]
+
+        /// Whatever a disk gives back: it is read as it was written, or refused.
+        #[test]
+        fn a_file_is_whole_or_refused(
+            number in 0..40u64,
+            cut in any::<prop::sample::Index>(),
+            flips in prop::collection::vec((any::<prop::sample::Index>(), 1..=255u8), 0..3),
+        ) {
+            let good = write(&saved(number));
+            let mut bytes = good[..=cut.index(good.len())].to_vec();
+            for (at, flip) in flips {
+                let at = at.index(bytes.len());
+                bytes[at] ^= flip;
+            }
+            match read(&bytes, "dar", "n3") {
+                Ok(read) => prop_assert!(bytes == good && read == saved(number)),
+                Err(fault) => prop_assert!(bytes != good && !fault.to_string().is_empty()),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trials/tests/shared.rs
@@ -0,0 +1,142 @@
+//! What the processes share, in virtual time: who is there, what all know, and the sum of their parts.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shelfgrade_fleet::{Entry, Map, Merged, Seat, Version, LEASE};
+use shelfgrade_trials::drawn::{Drawn, CALM, ROUGH};
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let value = prop_oneof![Just(None), prop::collection::vec(0..3u8, 0..3).prop_map(Some)];
+    ("[a-d]{1,2}", 0..4u64, 0..3u64, 0..3u16, value).prop_map(|(key, count, by, owner, value)| Entry {
+        key,
+        version: Version { count, by },
+        owner: Seat(owner),
+        value,
+    })
+}
+
+fn merged(entries: &[Entry]) -> Vec<Entry> {
+    let mut map = Map::new(9);
+    for entry in entries {
+        map.merge(entry.clone());
+    }
+    map.iter().cloned().collect()
+}
+
+/// The same cases every time.
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    /// Whatever order rumours come in, and however often: all who heard the same know the same, deletions included, also
+    /// where there is more than the bound.
+    #[test]
+    fn entries_merge_to_the_same_in_any_order(
+        (entries, shuffled) in prop::collection::vec(entry(), 0..60)
+            .prop_flat_map(|entries| (Just(entries.clone()), Just(entries).prop_shuffle())),
+        again in 0..60usize,
+    ) {
+        let twice: Vec<_> = shuffled.iter().chain(shuffled.iter().take(again)).cloned().collect();
+        prop_assert_eq!(merged(&entries), merged(&twice));
+        let halves: Vec<_> = merged(&entries[..entries.len() / 2]).into_iter()
+            .chain(merged(&entries[entries.len() / 2..])).collect();
+        prop_assert_eq!(merged(&entries), merged(&halves), "what was merged before merges too");
+    }
+}
+
+#[test]
+fn what_is_over_a_bound_changes_nothing() {
+    let mut map = Map::new(4);
+    let of = |key: String, length: usize, count: u64| Entry {
+        key,
+        version: Version { count, by: 1 },
+        owner: Seat(0),
+        value: Some(vec![7; length]),
+    };
+    assert_eq!(map.merge(of("a".into(), 901, 1)), Merged::OverBound);
+    assert_eq!(map.merge(of("a".repeat(97), 1, 1)), Merged::OverBound);
+    assert_eq!(map.merge(of("a".into(), 1, u64::MAX)), Merged::OverBound, "a count that nobody reached");
+    for i in 0..50 {
+        map.merge(of(format!("k{i}"), 9, 1));
+    }
+    assert_eq!(map.iter().count(), 4);
+}
+
+/// Has them draw the network, kill, stop and cut, and looks all the while at what they may do together.
+fn never_more_than_the_whole(size: usize, seed: u64, steps: &[(u8, usize, u64)]) {
+    let mut fleet = Drawn::running(size, if seed.is_multiple_of(2) { ROUGH } else { CALM }, seed);
+    fleet.passes(12_000);
+    for (what, seat, ms) in steps {
+        let seat = seat % size;
+        match what % 8 {
+            0 => fleet.kill(seat),
+            1 if fleet.processes[seat].core.is_none() => fleet.start(seat),
+            2 => fleet.stop(seat, true),
+            3 => fleet.stop(seat, false),
+            4 => fleet.halve(|other| other <= seat),
+            5 => fleet.halve(|other| other % 2 == seat % 2),
+            6 => fleet.cut.clear(),
+            _ => drop(fleet.cut.insert((Seat(seat as u16), Seat(((seat + 1) % size) as u16)))),
+        }
+        for _ in 0..(ms / 97 + 1) {
+            fleet.passes(97);
+            let sum = fleet.sum_of_parts();
+            assert!(sum <= 1.0 + 1e-9, "{sum} at {:?}, after {what} {seat}", fleet.now);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(24))]
+
+    /// Two halves that cannot hear each other, a process that was stopped and wakes with its leases, one that is killed
+    /// and back before they ran out, a network that loses, doubles and reorders: never more than the whole.
+    #[test]
+    fn parts_never_add_up_to_more_than_the_whole(
+        size in 1..9usize,
+        seed in any::<u64>(),
+        steps in prop::collection::vec((any::<u8>(), any::<usize>(), 0..9000u64), 1..12),
+    ) {
+        never_more_than_the_whole(size, seed, &steps);
+    }
+}
+
+#[test]
+fn a_whole_fleet_has_all_of_it_one_alone_its_floor_and_either_half_about_half() {
+    let whole = |fleet: &Drawn| (fleet.sum_of_parts() * 1000.0).round() / 1000.0;
+    let mut fleet = Drawn::running(20, CALM, 7);
+    fleet.passes(500);
+    assert_eq!(whole(&fleet), 0.5, "the floors, at once: nobody knows yet what was granted before");
+    fleet.passes(15_000);
+    assert_eq!(whole(&fleet), 1.0);
+    // A quarter dies: the others have its units, all but those whose witnesses died.
+    (0..5).for_each(|seat| fleet.kill(seat));
+    fleet.passes(20_000);
+    assert!((0.8..=0.9).contains(&whole(&fleet)), "{}", whole(&fleet));
+    (0..5).for_each(|seat| fleet.start(seat));
+    fleet.passes(30_000);
+    assert_eq!(whole(&fleet), 1.0, "and gives them back");
+    fleet.halve(|seat| seat < 10);
+    fleet.passes(30_000);
+    let half: f64 = (0..10).map(|seat| fleet.core(seat).part(fleet.now)).sum();
+    assert!((0.3..=0.7).contains(&half) && fleet.sum_of_parts() > 0.8, "{half} {}", fleet.sum_of_parts());
+    let mut alone = Drawn::new(20, CALM, 7);
+    alone.start(3);
+    alone.passes(20_000);
+    assert_eq!(
+        alone.core(3).part(alone.now),
+        1.0 / 40.0,
+        "able to serve, and no more than is surely its own"
+    );
+    let mut single = Drawn::running(1, CALM, 7);
+    single.passes(2 * LEASE.as_ms() as u64);
+    assert_eq!(single.core(0).part(single.now), 1.0);
+}
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -53,7 +53,7 @@
     /// The most delicate offering's, as any may be held by a server; no sign of life in this time is strain.
     message_limit: Span,
     most_pause: Span,
-    shelf: Rc<Shelf>,
+    pub(crate) shelf: Rc<Shelf>,
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     asks_at: Option<Point>,
@@ -90,7 +90,7 @@
             looks_at: None,
             hailing: Vec::new(),
             stages: [
-                Box::new(recall::Recall::default()),
+                Box::new(recall::Recall { shelf: shelf.clone(), swept: Point::default() }),
                 Box::new(pacing::Pacing::new(shelf.clone())),
                 Box::new(placement::Placement { shelf: shelf.clone(), warm_up }),
                 Box::new(dispatch::Dispatch { shelf: shelf.clone() }),
@@ -225,7 +225,8 @@
         }
         self.circuits.remove(&circuit.id);
         if circuit.may_push_back() {
-            host.push_back(circuit.id, self.most_pause.times(0.5 + 0.5 * self.shelf.luck()));
+            let again = || self.most_pause.times(0.5 + 0.5 * self.shelf.luck());
+            host.push_back(circuit.id, circuit.turn.map_or_else(again, |turn| turn.again));
         } else {
             host.forfeit(circuit.id);
         }
--- a/src/choice/pacing.rs
+++ b/src/choice/pacing.rs
@@ -17,7 +17,7 @@
     /// Whether one more connect may go out; a part of one is a chance of that size.
     pub(super) fn has_turn(&self, now: Point) -> bool {
         let out: u32 = self.servers.borrow().iter().map(|s| s.waiting.get()).sum();
-        f64::from(out) + self.luck() < self.window(now)
+        f64::from(out) + self.luck() < self.window(now) * self.parts.get()
     }
 }
 
--- a/src/choice/placement.rs
+++ b/src/choice/placement.rs
@@ -31,17 +31,18 @@
         let seed = self.shelf.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
         // The circuit itself will be open, too.
-        let part = self.warm_up.part(servers.len()).max(open + 1.0);
+        let part = (self.warm_up.part(servers.len()) * self.shelf.parts.get()).max(open + 1.0);
         // Guards against a group's wave back to one cold server, where new ones spread over three.
         const MORE: usize = 2;
         let crowd = self.shelf.crowd(now);
         let blind = circuit.group.is_some() && self.warm_up.out_of_sight(circuit.key, servers.len());
         let most = if circuit.returned && blind { 1.0 / (1.0 + MORE as f64) } else { 1.0 };
+        let first = circuit.turn.map_or(1.0 - draw, |turn| turn.before);
         let usable = |s: &&Rc<Server>| {
             s.standing.get() == Standing::Active
                 && circuit.may_go_to(s, now)
                 && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
-                && 1.0 - draw <= self.warm_up.share(s, part, crowd, most, now)
+                && first <= self.warm_up.share(s, part, crowd, most, now)
         };
         // While it is unusually silent a server has no trust at all.
         let unusual = self.shelf.unusual_after();
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,49 @@
+//! What a host may hand over from an earlier life of the proxy, and take from this one; nothing is decided here.
+
+use crate::choice::Chooser;
+use crate::host::Standing;
+use crate::time::{Point, Span};
+use std::rc::Rc;
+
+/// A client key's hash, the server where its connection stands or stood, and when that server started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Remembered {
+    pub key: u64,
+    pub server: String,
+    pub started: Option<Point>,
+}
+
+impl Chooser {
+    /// What this proxy may do of what the fleet may, in parts of one proxy's: 1 is as ever.
+    pub fn may_do(&self, parts: f64) {
+        self.shelf.parts.set(parts);
+    }
+
+    /// How many proxies the settings tell of, this one included.
+    pub fn proxies(&self) -> f64 {
+        self.shelf.proxies
+    }
+
+    /// Where clients' connections stand or stood a short while ago, in the order of the keys' hashes.
+    pub fn remembered(&self) -> Vec<Remembered> {
+        let table = self.shelf.table.borrow();
+        let there = table.iter().filter_map(|(key, (server, _))| Some((*key, server.upgrade()?)));
+        let line = |(key, server): (u64, Rc<crate::record::Server>)| Remembered {
+            key,
+            server: server.id.to_string(),
+            started: server.started.get(),
+        };
+        there.map(line).collect()
+    }
+
+    /// Takes in what an earlier life remembered, for so long; true where the server is there and has not started since.
+    pub fn remember(&mut self, remembered: &Remembered, within: Span, now: Point) -> bool {
+        let server = self.shelf.find(&remembered.server).filter(|server| {
+            server.started.get() == remembered.started && server.standing.get() == Standing::Active
+        });
+        let Some(server) = server else { return false };
+        let mut table = self.shelf.table.borrow_mut();
+        table.entry(remembered.key).or_insert_with(|| (Rc::downgrade(&server), now + within));
+        true
+    }
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -73,6 +73,17 @@
     pub mid_flow: bool,
     /// The client has come back after a break or after being sent away.
     pub returned: bool,
+    /// Its turn in a crowd that comes back, where there is one and somebody reckons it.
+    pub turn: Option<Turn>,
+}
+
+/// A circuit's turn, from outside: what is owed goes first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    /// The part of the crowd that goes before it, from 0 to 1; beyond 1 nobody is let in yet.
+    pub before: f64,
+    /// When it is to come again, where it is not let in.
+    pub again: Span,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,12 +51,14 @@
 //!     patience_ends: now + Span::millis(3000),
 //!     mid_flow: false,
 //!     returned: false,
+//!     turn: None,
 //! };
 //! chooser.arrived(&arrival, now, &mut host);
 //! assert_eq!(host.0, ["circuit 1 to 192.0.2.1:80"]);
 //! ```
 
 pub mod choice;
+pub mod handover;
 pub mod host;
 mod record;
 pub mod time;
--- a/src/record.rs
+++ b/src/record.rs
@@ -1,6 +1,6 @@
 //! What a proxy keeps of servers and circuits: plain records, on which `choice` decides.
 
-use crate::host::{Arrival, CircuitId, Effect, Ending, Listed, Offering, ServerId, Standing};
+use crate::host::{Arrival, CircuitId, Effect, Ending, Listed, Offering, ServerId, Standing, Turn};
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
@@ -51,6 +51,10 @@
     pub(crate) seed: u64,
     /// How many proxies there are, this one included.
     pub(crate) proxies: f64,
+    /// What this proxy may do of what the fleet may, in parts of one proxy's: 1 where nobody says otherwise.
+    pub(crate) parts: Cell<f64>,
+    /// By client key: the server, and until when that is known.
+    pub(crate) table: RefCell<BTreeMap<u64, (Weak<Server>, Point)>>,
     pub(crate) chance: RefCell<WyRand>,
 }
 
@@ -65,6 +69,8 @@
             most_connects,
             seed,
             proxies,
+            parts: Cell::new(1.0),
+            table: RefCell::default(),
             chance: RefCell::new(WyRand::new_seed(seed)),
         }
     }
@@ -212,6 +218,7 @@
     pub(crate) patience_ends: Point,
     pub(crate) mid_flow: bool,
     pub(crate) returned: bool,
+    pub(crate) turn: Option<Turn>,
     pub(crate) stands: Cell<bool>,
     pub(crate) answered: Cell<bool>,
     /// It waits for the first sign of life from its servers, or has done so before the next connect.
@@ -236,6 +243,7 @@
             patience_ends: arrival.patience_ends,
             mid_flow: arrival.mid_flow,
             returned: arrival.returned,
+            turn: arrival.turn,
             ..Circuit::default()
         }
     }
--- a/tests/stories/fake.rs
+++ b/tests/stories/fake.rs
@@ -84,6 +84,7 @@
         patience_ends: Point::default(),
         mid_flow: false,
         returned: false,
+        turn: None,
     }
 }
 
