--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -132,6 +132,11 @@
         self.swim.alive()
     }
 
+    /// The life of a fellow that is there, as far as this process sees.
+    pub fn life(&self, seat: Seat) -> Option<Life> {
+        self.swim.life(seat)
+    }
+
     /// The part of what the fleet may do that this process may now, from 0 to 1.
     pub fn part(&self, now: Point) -> f64 {
         self.rights.part(now)
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -178,6 +178,11 @@
         seats
     }
 
+    /// The life of who is there in a seat, as far as it is known.
+    pub fn life(&self, seat: Seat) -> Option<Life> {
+        self.foca.iter_members().map(|member| *member.id()).find(|life| life.seat == seat)
+    }
+
     /// Hands on a rumour of an entry that was written here, or found elsewhere by comparing.
     pub fn spread(&mut self, entry: &Entry) {
         if let Ok(bytes) = postcard::to_stdvec(entry) {
--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -9,10 +9,16 @@
     unix_then: Point,
 }
 
+/// The variable that sets this process's clock ahead of the machine's, or back, in milliseconds: for trials of a fleet
+/// whose clocks differ.
+const AHEAD: &str = "SHELFGRADE_CLOCK_AHEAD_MS";
+
 impl Clock {
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { began: Instant::now(), unix_then: Point::from_ms(unix.as_secs_f64() * 1000.0) }
+        let ahead: f64 = std::env::var(AHEAD).ok().and_then(|ms| ms.parse().ok()).unwrap_or(0.0);
+        let then = (unix.as_secs_f64() * 1000.0 + ahead).max(0.0);
+        Clock { began: Instant::now(), unix_then: Point::from_ms(then) }
     }
 
     pub fn now(&self) -> Point {
--- /dev/null
+++ b/crates/proxy/src/comeback.rs
@@ -0,0 +1,130 @@
+//! The proxy among its fellows, where the fleet file is named: what the return asks of it, and what it tells the return.
+
+use crate::circuit::Circuit;
+use crate::fellows::{Company, Fellows};
+use crate::fleet_file::{FleetFault, FleetFile};
+use crate::listing::{Entry, Health, Listing};
+use crate::proxy::Proxy;
+use shelfgrade::handover::Remembered;
+use shelfgrade::host::Turn;
+use shelfgrade::time::Span;
+use shelfgrade_recovery::around::{Line, Terms};
+use shelfgrade_recovery::order::{Owed, State};
+use shelfgrade_recovery::trust::{self, Fact};
+use shelfgrade_terms::Terms as Settings;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long a key that an earlier life knew is known: as long as the table knows a connection after its end.
+const REMEMBERED: Span = Span::millis(30_000);
+
+/// What the settings say of a return.
+pub fn terms(settings: &Settings, file: &FleetFile) -> Terms {
+    let owed =
+        settings.owed.iter().map(|(soft_limit, benefit)| Owed { soft_limit: *soft_limit, benefit: *benefit });
+    Terms {
+        offerings: owed.collect(),
+        shares: settings.customers.iter().map(|(_, share)| *share).collect(),
+        wait: file.list_wait,
+        warm_up: settings.warm_up,
+        most_pause: settings.most_pause,
+    }
+}
+
+impl Company for Proxy {
+    fn follow(&mut self, lines: Vec<Line>, whole: bool) {
+        let now = self.hands.clock.now();
+        self.hands.follow(lines.iter().map(|line| (&line.listed, line.dial)), whole);
+        let listed: Vec<_> = lines.into_iter().map(|line| line.listed).collect();
+        self.chooser.listed(&listed, whole, now);
+        self.hands.take_over_waiting();
+        self.settle();
+    }
+
+    fn watch(&mut self, watches: bool) {
+        if watches {
+            self.hands.wants_list.set(true);
+            self.settle();
+        } else {
+            self.discovery.drop_call(self);
+        }
+    }
+
+    fn enters(&mut self, _: State) {
+        self.hands.list_heard.set(true);
+        self.list_is_here();
+    }
+
+    fn held_before(&mut self, remembered: &Remembered) {
+        let now = self.hands.clock.now();
+        if self.chooser.remember(remembered, REMEMBERED, now) {
+            self.hands.tally.count("keys known from before");
+        }
+    }
+
+    fn may_do(&mut self, part: f64) {
+        self.chooser.may_do(part * self.chooser.proxies());
+    }
+
+    fn remembered(&self) -> Vec<Remembered> {
+        self.chooser.remembered()
+    }
+
+    fn count(&self, what: &'static str) {
+        self.hands.tally.count(what);
+    }
+
+    fn complain(&self, what: &'static str) {
+        self.hands.tally.complain(what);
+    }
+}
+
+impl Proxy {
+    /// Discovery's list goes to the return first, which says what of it is gone by; true where there is one.
+    pub fn list_is_for_fellows(&mut self, listing: &Listing) -> bool {
+        let Some(fellows) = self.fellows.clone() else { return false };
+        let facts = listing.entries.iter().map(|entry| (entry.host.clone(), fact(entry))).collect();
+        fellows.told(facts, listing.whole, listing.seq, self);
+        true
+    }
+
+    /// Whether this process asks discovery itself.
+    pub fn asks_discovery(&self) -> bool {
+        self.fellows.as_ref().is_none_or(|fellows| fellows.watches())
+    }
+
+    /// A circuit's turn, where there is a crowd that comes back.
+    pub fn turn(&mut self, circuit: &Circuit) -> Option<Turn> {
+        let fellows = self.fellows.clone()?;
+        let opening = &circuit.opening;
+        let customer = opening.customer.as_ref().and_then(|t| self.customers.iter().position(|c| c == t));
+        fellows.turn((Some(opening.offering), customer), xxh3_64(opening.key.as_bytes()), self)
+    }
+
+    /// Begins to be one of several, where the environment names a file for that.
+    pub fn join_fellows(
+        &mut self,
+        file: FleetFile,
+        terms: Terms,
+        known: &Listing,
+        seed: u64,
+    ) -> Result<(), FleetFault> {
+        let fellows = Fellows::begin(file, terms, known.lines(), seed, self)?;
+        self.fellows = Some(fellows);
+        Ok(())
+    }
+}
+
+fn fact(entry: &Entry) -> Fact {
+    Fact {
+        dial: entry.dial,
+        site: entry.site.clone(),
+        kind: entry.kind.clone(),
+        block: entry.block,
+        health: match entry.health {
+            Health::InService => trust::Health::InService,
+            Health::Terminating => trust::Health::Terminating,
+            Health::Terminated => trust::Health::Terminated,
+        },
+        born_ms: entry.born_ms,
+    }
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -169,6 +169,13 @@
             None if ended => drop(self.socket.take()),
             None | Some(Ok(None)) => {}
             Some(Ok(Some(answer))) => match Listing::parse(&answer.body) {
+                // Guards against following changes to a list that was never had: discovery counts from the start again.
+                Ok(listing) if !listing.whole && self.seq.get().is_some_and(|asked| listing.seq < asked) => {
+                    log::warn!("discovery at {at}: back at version {}: asked for all", listing.seq);
+                    self.drop_call(follower);
+                    self.seq.set(None);
+                    self.ask(follower);
+                }
                 Ok(listing) => {
                     if !answer.keeps {
                         self.socket.take();
@@ -196,7 +203,7 @@
     }
 
     /// Forgets the call and its connection.
-    fn drop_call(&self, follower: &F) {
+    pub fn drop_call(&self, follower: &F) {
         self.stop_timer(follower);
         self.socket.take();
         self.call.take();
--- a/crates/proxy/src/early.rs
+++ b/crates/proxy/src/early.rs
@@ -3,6 +3,7 @@
 
 use crate::circuit::{Circuit, Stage};
 use crate::proxy::Proxy;
+use shelfgrade::host::Arrival;
 use shelfgrade::time::{Point, Span};
 use std::rc::{Rc, Weak};
 
@@ -22,6 +23,11 @@
         Early { until: Some(now + WAITS), circuits: Vec::new() }
     }
 
+    /// Where the return says when: it has a bound of its own, and this one is for the case that it fails.
+    pub fn until_the_return_serves(now: Point, wait: Span) -> Self {
+        Early { until: Some(now + wait + WAITS), circuits: Vec::new() }
+    }
+
     pub fn waits(&self) -> bool {
         self.until.is_some()
     }
@@ -63,8 +69,12 @@
     pub fn place(&mut self, circuit: &Rc<Circuit>) {
         if circuit.stage.get() == Stage::Asking {
             let now = self.now();
+            let turn = self.turn(circuit);
             let arrival = crate::proxy::arrival(circuit, circuit.since.get() + circuit.opening.patience);
-            self.chooser.arrived(&arrival, now, &mut self.hands);
+            self.chooser.arrived(&Arrival { turn, ..arrival }, now, &mut self.hands);
+            // Not turned away: it was let in, or is about to be.
+            let let_in = turn.is_some() && circuit.stage.get() == Stage::Asking;
+            self.fellows.iter().filter(|_| let_in).for_each(|fellows| fellows.let_in());
             self.settle();
         }
     }
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -42,6 +42,8 @@
         let leaving = in_stage(Stage::Leaving).any(|c| !c.client.is_over());
         let quiet = past >= QUIET_FOR && now.since(self.last_arrival) >= QUIET_FOR;
         if past >= GONE_WITHIN || quiet && !open && !leaving {
+            let fellows = self.fellows.take();
+            fellows.inspect(|fellows| fellows.leave(self));
             self.stop.stop();
         }
     }
--- /dev/null
+++ b/crates/proxy/src/fellows.rs
@@ -0,0 +1,281 @@
+//! A process among its fellows: the socket between them, the alarms, and the disk, round the core of the return.
+//!
+//! Whom it serves is told what happens through [`Company`], and through nothing else.
+
+use crate::clock::duration;
+use crate::disk::{self, Disk};
+use crate::driver::OnLoop;
+use crate::fleet_file::{FleetFault, FleetFile};
+use calloop::generic::Generic;
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use shelfgrade::handover::Remembered;
+use shelfgrade::host::{Listed, Turn};
+use shelfgrade::time::Point;
+use shelfgrade_fleet::{Entry, Seat, Surroundings};
+use shelfgrade_recovery::around::{Around, Line, Terms};
+use shelfgrade_recovery::comeback::Comeback;
+use shelfgrade_recovery::order::State;
+use shelfgrade_recovery::snapshot;
+use shelfgrade_recovery::trust::Fact;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+/// Who is among fellows.
+pub trait Company: OnLoop {
+    fn follow(&mut self, lines: Vec<Line>, whole: bool);
+    fn watch(&mut self, watches: bool);
+    fn enters(&mut self, state: State);
+    fn held_before(&mut self, remembered: &Remembered);
+    /// What this process may do of what the fleet may, from 0 to 1.
+    fn may_do(&mut self, part: f64);
+    /// What the decisions remember, for the disk.
+    fn remembered(&self) -> Vec<Remembered>;
+    fn count(&self, what: &'static str);
+    fn complain(&self, what: &'static str);
+}
+
+pub struct Fellows<C: Company> {
+    core: RefCell<Comeback>,
+    file: RefCell<FleetFile>,
+    socket: UdpSocket,
+    timer: Cell<Option<RegistrationToken>>,
+    disk: RefCell<Option<Disk>>,
+    /// What was written last, and when.
+    saved: Cell<(u64, Point)>,
+    /// What is to be told once the core has finished.
+    told: RefCell<Vec<Box<dyn FnOnce(&mut C)>>>,
+}
+
+/// The core's way out.
+struct Out<'a, C: Company> {
+    fellows: &'a Fellows<C>,
+}
+
+impl<C: Company> Out<'_, C> {
+    fn tell(&self, what: impl FnOnce(&mut C) + 'static) {
+        self.fellows.told.borrow_mut().push(Box::new(what));
+    }
+
+    fn name(&self, seat: Seat) -> String {
+        self.fellows.file.borrow().roster.name(seat).unwrap_or("?").to_owned()
+    }
+}
+
+impl<C: Company> Surroundings for Out<'_, C> {
+    fn send(&mut self, to: Seat, datagram: Vec<u8>) {
+        let address = self.fellows.file.borrow().addresses.get(usize::from(to.0)).copied();
+        // One that is lost is made up for by those that follow.
+        let _ = address.map(|address| self.fellows.socket.send_to(&datagram, address));
+    }
+    fn entry(&mut self, entry: &Entry) {
+        log::trace!("{} is known at version {:?}", entry.key, entry.version);
+    }
+    fn came(&mut self, seat: Seat) {
+        log::info!("fellow {} is there", self.name(seat));
+    }
+    fn went(&mut self, seat: Seat) {
+        log::info!("fellow {} is gone", self.name(seat));
+    }
+    fn refused(&mut self, why: &'static str) {
+        self.tell(move |company| company.complain(why));
+    }
+}
+
+impl<C: Company> Around for Out<'_, C> {
+    fn follow(&mut self, lines: Vec<Line>, whole: bool) {
+        self.tell(move |company| company.follow(lines, whole));
+    }
+    fn watch(&mut self, watches: bool) {
+        log::info!(
+            "{}",
+            if watches { "asks discovery, for all" } else { "leaves asking discovery to fellows" }
+        );
+        self.tell(move |company| company.watch(watches));
+    }
+    fn enters(&mut self, state: State, why: &str) {
+        log::info!("return: {}; {why}", state.name());
+        self.tell(move |company| company.enters(state));
+    }
+    fn held_before(&mut self, key: u64, server: &str, started_ms: f64) {
+        let started = (started_ms > 0.0).then(|| Point::from_ms(started_ms));
+        let remembered = Remembered { key, server: server.to_owned(), started };
+        self.tell(move |company| company.held_before(&remembered));
+    }
+    fn refused_list(&mut self, why: &str) {
+        log::warn!("list not taken: {why}");
+        self.tell(|company| company.complain("lists not taken"));
+    }
+}
+
+impl<C: Company> Fellows<C> {
+    /// Reads what an earlier life left, and begins to listen; `known` are the servers of the start-up file.
+    pub fn begin(
+        file: FleetFile,
+        terms: Terms,
+        known: Vec<Listed>,
+        seed: u64,
+        company: &mut C,
+    ) -> Result<Rc<Self>, FleetFault> {
+        let at = file.addresses[usize::from(file.roster.me().0)];
+        let bind = |source| FleetFault::Bind { at, source };
+        let socket = UdpSocket::bind(at).map_err(bind)?;
+        socket.set_nonblocking(true).map_err(bind)?;
+        let name = file.roster.name(file.roster.me()).unwrap_or_default();
+        let found = file.state_dir.as_deref().map(disk::read).unwrap_or_default();
+        let (before, faults) = snapshot::newest(&found, file.roster.fleet(), name);
+        for (generation, fault) in faults {
+            log::warn!("snapshot {generation}: {fault}");
+        }
+        let now = company.now();
+        let mut core = Comeback::new(file.roster.clone(), terms, before, seed, (now, wall_ms(now)));
+        core.knows(known.into_iter(), now);
+        log::info!(
+            "return: {}; one of {} in {}",
+            core.state().name(),
+            file.roster.size(),
+            file.roster.fleet()
+        );
+        let disk = file.state_dir.as_deref().map(Disk::begin);
+        let fellows = Rc::new(Fellows {
+            core: RefCell::new(core),
+            file: RefCell::new(file),
+            timer: Cell::default(),
+            disk: RefCell::new(disk),
+            saved: Cell::new((0, now)),
+            told: RefCell::default(),
+            socket: socket.try_clone().map_err(bind)?,
+        });
+        let me = fellows.clone();
+        let source = Generic::new(socket, Interest::READ, Mode::Level);
+        let watched = company.handle().insert_source(source, move |_, _, company| {
+            me.ready(company);
+            Ok(PostAction::Continue)
+        });
+        watched.map_err(|fault| bind(std::io::Error::other(fault.error)))?;
+        fellows.woke(company);
+        Ok(fellows)
+    }
+
+    fn ready(self: &Rc<Self>, company: &mut C) {
+        // Guards against a storm of datagrams starving the clients.
+        const AT_ONCE: usize = 64;
+        let mut datagram = [0; shelfgrade_fleet::LONGEST];
+        for _ in 0..AT_ONCE {
+            let Ok((length, from)) = self.socket.recv_from(&mut datagram) else { break };
+            if self.knows(from) {
+                let now = company.now();
+                let mut core = self.core.borrow_mut();
+                core.heard(&datagram[..length], (now, wall_ms(now)), &mut Out { fellows: self });
+            } else {
+                company.complain("fleet datagrams from strangers");
+            }
+        }
+        self.settle(company);
+    }
+
+    fn knows(&self, from: SocketAddr) -> bool {
+        self.file.borrow().addresses.contains(&from)
+    }
+
+    fn woke(self: &Rc<Self>, company: &mut C) {
+        let now = company.now();
+        self.core.borrow_mut().woke((now, wall_ms(now)), &mut Out { fellows: self });
+        self.save(now, company);
+        self.settle(company);
+    }
+
+    /// Tells what the core has said, and sets the next alarm.
+    fn settle(self: &Rc<Self>, company: &mut C) {
+        loop {
+            let told = std::mem::take(&mut *self.told.borrow_mut());
+            if told.is_empty() {
+                break;
+            }
+            told.into_iter().for_each(|tell| tell(company));
+        }
+        let now = company.now();
+        company.may_do(self.core.borrow().part(now));
+        if let Some(token) = self.timer.take() {
+            company.handle().remove(token);
+        }
+        let timer = Timer::from_duration(duration(self.core.borrow().next().since(now)));
+        let me = self.clone();
+        let token = company.handle().insert_source(timer, move |_, _, company| {
+            me.timer.take();
+            me.woke(company);
+            TimeoutAction::Drop
+        });
+        self.timer.set(token.ok());
+    }
+
+    /// Writes what is new, as often as the file says.
+    fn save(&self, now: Point, company: &C) {
+        let (state, at) = self.saved.get();
+        let due = now.since(at) >= self.file.borrow().save_every;
+        let new = self.core.borrow().fleet().state();
+        if let Some(disk) = self.disk.borrow().as_ref().filter(|_| due && new != state) {
+            let (number, bytes) = self.bytes(now, company);
+            if disk.write(number, bytes) {
+                self.saved.set((new, now));
+            }
+        }
+    }
+
+    fn bytes(&self, now: Point, company: &C) -> (u64, Vec<u8>) {
+        let held = company.remembered().into_iter().map(|held| (held.key, held.server));
+        let saved = self.core.borrow_mut().save(held, wall_ms(now));
+        (saved.number, snapshot::write(&saved))
+    }
+
+    /// Discovery has told a list.
+    pub fn told(self: &Rc<Self>, facts: Vec<(String, Fact)>, whole: bool, seq: u64, company: &mut C) {
+        let now = company.now();
+        self.core.borrow_mut().told(facts, whole, seq, now, &mut Out { fellows: self });
+        self.settle(company);
+    }
+
+    /// A circuit has come: what it is owed. Guards against parts of the fleet's rights that ran out while this process
+    /// was stopped: they are asked for again with each.
+    pub fn turn(&self, of: (Option<usize>, Option<usize>), key: u64, company: &mut C) -> Option<Turn> {
+        let now = company.now();
+        company.may_do(self.core.borrow().part(now));
+        self.core.borrow_mut().turn(of, key, now)
+    }
+
+    pub fn let_in(&self) {
+        self.core.borrow_mut().let_in();
+    }
+
+    pub fn state(&self) -> State {
+        self.core.borrow().state()
+    }
+
+    pub fn watches(&self) -> bool {
+        self.core.borrow().is_asker()
+    }
+
+    /// Goes by another file, as far as that can be while processes run.
+    pub fn read_again(&self, name: &str) -> Result<(), FleetFault> {
+        let Some(next) = FleetFile::from_environment(name)? else { return Ok(()) };
+        self.file.borrow().may_follow(&next)?;
+        *self.file.borrow_mut() = next;
+        Ok(())
+    }
+
+    /// This process ends: its fellows hear of it, and the disk has all.
+    pub fn leave(&self, company: &C) {
+        let now = company.now();
+        self.core.borrow_mut().leave((now, wall_ms(now)), &mut Out { fellows: self });
+        if let Some(disk) = self.disk.borrow_mut().take() {
+            let (number, bytes) = self.bytes(now, company);
+            disk.end(number, bytes);
+        }
+    }
+}
+
+/// This machine's Unix time, which the loop's clock was set by.
+fn wall_ms(now: Point) -> u64 {
+    now.as_ms() as u64
+}
--- /dev/null
+++ b/crates/proxy/src/fleet_file.rs
@@ -0,0 +1,161 @@
+//! The file that switches on what processes share: `SHELFGRADE_FLEET` names it, `deploy/fleet.toml` is one with every
+//! key explained. It is checked whole, and read again at `SIGHUP`.
+
+use serde::Deserialize;
+use shelfgrade::time::Span;
+use shelfgrade_fleet::{Roster, RosterFault};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The variable that names it.
+pub const NAMED_BY: &str = "SHELFGRADE_FLEET";
+
+#[derive(Debug, thiserror::Error)]
+pub enum FleetFault {
+    #[error("{path}: cannot be read ({source}): see that the file is there and may be read by this user")]
+    Unreadable { path: String, source: std::io::Error },
+    #[error("{path}, line {line}, column {column}: {what}: correct it there; deploy/fleet.toml explains every key")]
+    Form { path: String, line: usize, column: usize, what: String },
+    #[error("{path}, fellows: {source}")]
+    Fellows { path: String, source: RosterFault },
+    #[error("{path}, {key}: {value} where {least} to {most} is wanted: correct it there")]
+    Bound { path: String, key: &'static str, value: u64, least: u64, most: u64 },
+    #[error("{path}, fellows: {first} and {second} have one address: give each process one of its own")]
+    OneAddress { path: String, first: String, second: String },
+    #[error("cannot hear fellows at {at} ({source}): see that the address is this machine's and that nobody has it")]
+    Bind { at: SocketAddr, source: std::io::Error },
+    #[error("{path}: {key} is another than at the start: it counts when all processes are started anew")]
+    Fixed { path: String, key: &'static str },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: String,
+    fellows: BTreeMap<String, SocketAddr>,
+    state_dir: Option<PathBuf>,
+    #[serde(default = "list_wait_ms")]
+    list_wait_ms: u64,
+    #[serde(default = "save_every_ms")]
+    save_every_ms: u64,
+}
+
+fn list_wait_ms() -> u64 {
+    2000
+}
+
+fn save_every_ms() -> u64 {
+    1000
+}
+
+/// The file, read and checked.
+#[derive(Clone)]
+pub struct FleetFile {
+    pub path: String,
+    pub roster: Roster,
+    /// By the order of the roster.
+    pub addresses: Vec<SocketAddr>,
+    pub state_dir: Option<PathBuf>,
+    pub list_wait: Span,
+    pub save_every: Span,
+}
+
+impl FleetFile {
+    /// None where the environment names none: everything is as without it.
+    pub fn from_environment(me: &str) -> Result<Option<Self>, FleetFault> {
+        std::env::var(NAMED_BY).ok().map(|path| Self::read(Path::new(&path), me)).transpose()
+    }
+
+    pub fn read(path: &Path, me: &str) -> Result<Self, FleetFault> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| FleetFault::Unreadable { path: shown.clone(), source })?;
+        Self::parse(&shown, &text, me)
+    }
+
+    pub fn parse(path: &str, text: &str, me: &str) -> Result<Self, FleetFault> {
+        let path = path.to_owned();
+        let file: File = toml::from_str(text).map_err(|fault| {
+            let before = &text[..fault.span().map_or(0, |span| span.start.min(text.len()))];
+            let line = before.matches('\n').count() + 1;
+            let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+            FleetFault::Form { path: path.clone(), line, column, what: fault.message().replace('\n', ", ") }
+        })?;
+        let within = |key, value, least, most| match (least..=most).contains(&value) {
+            true => Ok(Span::millis(value)),
+            false => Err(FleetFault::Bound { path: path.clone(), key, value, least, most }),
+        };
+        let list_wait = within("list_wait_ms", file.list_wait_ms, 100, 10_000)?;
+        let save_every = within("save_every_ms", file.save_every_ms, 100, 60_000)?;
+        let roster = Roster::new(&file.fleet, file.fellows.keys().cloned(), me)
+            .map_err(|source| FleetFault::Fellows { path: path.clone(), source })?;
+        let mut taken: BTreeMap<SocketAddr, &String> = BTreeMap::new();
+        for (name, address) in &file.fellows {
+            if let Some(first) = taken.insert(*address, name) {
+                let (first, second) = (first.clone(), name.clone());
+                return Err(FleetFault::OneAddress { path, first, second });
+            }
+        }
+        // Both go by the order of the names.
+        let addresses = file.fellows.values().copied().collect();
+        Ok(FleetFile { path, roster, addresses, state_dir: file.state_dir, list_wait, save_every })
+    }
+
+    /// What cannot change while processes run: parts of the fleet's rights are by the roster.
+    pub fn may_follow(&self, next: &Self) -> Result<(), FleetFault> {
+        let fixed = |key| Err(FleetFault::Fixed { path: next.path.clone(), key });
+        if self.roster != next.roster {
+            return fixed("fleet, or the names of the fellows,");
+        }
+        if self.state_dir != next.state_dir {
+            return fixed("state_dir");
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str =
+        "fleet = \"dar\"\nlist_wait_ms = 900\n[fellows]\nn1 = \"127.0.0.1:7401\"\nn0 = \"127.0.0.1:7400\"\n";
+
+    fn fault(text: &str) -> String {
+        FleetFile::parse("fleet.toml", text, "n1").err().expect("a fault").to_string()
+    }
+
+    #[test]
+    fn the_file_is_checked_whole_and_each_fault_says_where_it_is_and_what_to_do() {
+        let file = FleetFile::parse("fleet.toml", GOOD, "n1").expect("a good file");
+        assert_eq!(
+            (file.roster.size(), file.addresses[0].port(), file.list_wait),
+            (2, 7400, Span::millis(900))
+        );
+        let faults: [(&str, &str, [&str; 3]); 7] = [
+            (
+                "list_wait_ms",
+                "wait_ms",
+                ["fleet.toml, line 2, column 1", "unknown field", "deploy/fleet.toml explains"],
+            ),
+            ("900", "\"soon\"", ["fleet.toml, line 2, column 16", "invalid type", "correct it there"]),
+            ("900", "90000", ["fleet.toml, list_wait_ms", "90000 where 100 to 10000", "correct it there"]),
+            (
+                "127.0.0.1:7401",
+                "nowhere",
+                ["fleet.toml, line 4, column 6", "invalid socket address", "correct it"],
+            ),
+            ("7401", "7400", ["fleet.toml, fellows", "n0 and n1 have one address", "one of its own"]),
+            ("n1", "n2", ["fleet.toml, fellows", "n1, is not among the fellows", "add it"]),
+            ("fleet = \"dar\"\n", "", ["fleet.toml, line 1", "missing field `fleet`", "correct it there"]),
+        ];
+        for (good, bad, words) in faults {
+            let fault = fault(&GOOD.replace(good, bad));
+            assert!(words.iter().all(|word| fault.contains(word)) && fault.lines().count() == 1, "{fault}");
+        }
+        let other = FleetFile::parse("fleet.toml", &GOOD.replace("n0", "n7"), "n1").expect("a good file");
+        assert!(file.may_follow(&other).is_err_and(|fault| fault.to_string().contains("started anew")));
+        assert!(file.may_follow(&FleetFile { save_every: Span::millis(500), ..file.clone() }).is_ok());
+    }
+}
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -3,18 +3,18 @@
 use crate::circuit::{Circuit, Stage, TAKE_OVER_WITHIN};
 use crate::client::busy;
 use crate::clock::{duration, Clock};
-use crate::listing::Listing;
 use crate::proxy::Proxy;
 use crate::server::{Connect, Server};
 use crate::start::Limits;
 use crate::tally::Tally;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::LoopHandle;
-use shelfgrade::host::{CircuitId, Ending, Host, ServerId, Standing};
+use shelfgrade::host::{CircuitId, Ending, Host, Listed, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
 /// What carries out the decisions.
@@ -111,21 +111,23 @@
         self.tally.must(again.is_ok(), "a timer can be set");
     }
 
-    pub fn follow(&mut self, listing: &Listing) {
-        let lines = listing.lines();
-        if listing.whole {
-            let absent = |id: &ServerId| !lines.iter().any(|l| l.server == *id);
-            self.servers
-                .iter()
-                .filter(|(id, _)| absent(id))
-                .for_each(|(_, s)| s.standing.set(Standing::Gone));
+    /// Goes by these lines of the list, each with its address, if it has one.
+    pub fn follow<'a>(
+        &mut self,
+        lines: impl Iterator<Item = (&'a Listed, Option<SocketAddr>)> + Clone,
+        whole: bool,
+    ) {
+        if whole {
+            let absent = |id: &ServerId| !lines.clone().any(|(line, _)| line.server == *id);
+            let gone = self.servers.iter().filter(|(id, _)| absent(id));
+            gone.for_each(|(_, server)| server.standing.set(Standing::Gone));
         }
-        for (line, entry) in lines.iter().zip(&listing.entries) {
+        for (line, dial) in lines {
             let server = self.servers.get(&line.server).cloned().or_else(|| {
                 let server = Server {
                     id: line.server.clone(),
                     standing: Cell::new(line.standing),
-                    dial: Cell::new(entry.dial?),
+                    dial: Cell::new(dial?),
                     pulse: Default::default(),
                     notes: Default::default(),
                     probe: Default::default(),
@@ -134,7 +136,7 @@
             });
             let Some(server) = server else { continue };
             server.standing.set(line.standing);
-            server.dial.set(entry.dial.unwrap_or(server.dial.get()));
+            server.dial.set(dial.unwrap_or(server.dial.get()));
             self.servers.insert(line.server.clone(), server);
         }
         self.servers.retain(|_, server| server.standing.get() != Standing::Gone);
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -64,6 +64,7 @@
     /// How long the client waits.
     pub patience: Span,
     pub group: Option<String>,
+    pub customer: Option<String>,
     /// The server where it was open before the start.
     pub at: Option<String>,
     pub mid_flow: bool,
@@ -103,6 +104,7 @@
             offering: offerings.iter().position(|o| values.get("c") == Some(&o.as_str()))?,
             patience: Span::from_ms(wait),
             group: named("g"),
+            customer: named("t"),
             at: named("at"),
             mid_flow: marked("mid")?,
             returned: marked("again")?,
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -25,23 +25,23 @@
 
 #[derive(Deserialize)]
 pub struct Entry {
-    host: String,
+    pub host: String,
     /// Where to connect; one that is gone may have none.
     pub dial: Option<SocketAddr>,
     #[serde(default)]
-    site: String,
+    pub site: String,
     #[serde(default, rename = "class")]
-    kind: String,
+    pub kind: String,
     #[serde(default)]
-    block: u64,
-    health: Health,
+    pub block: u64,
+    pub health: Health,
     #[serde(default)]
-    born_ms: f64,
+    pub born_ms: f64,
 }
 
 #[derive(Deserialize, PartialEq, Clone, Copy)]
 #[serde(rename_all = "snake_case")]
-enum Health {
+pub enum Health {
     InService,
     Terminating,
     Terminated,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,10 +1,13 @@
 //! The proxy: owns the decisions, hears from the sockets, and carries out what is decided.
 
 use crate::circuit::{Circuit, Stage};
+use crate::comeback;
 use crate::discovery::{CallFault, Discovery, Follower};
 use crate::door::Door;
 use crate::driver::OnLoop;
 use crate::early::Early;
+use crate::fellows::Fellows;
+use crate::fleet_file::{FleetFault, FleetFile};
 use crate::hands::Hands;
 use crate::line::{Open, LONGEST};
 use crate::listing::Listing;
@@ -31,8 +34,13 @@
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
     pub door: Door,
-    discovery: Rc<Discovery<Proxy>>,
+    pub discovery: Rc<Discovery<Proxy>>,
     pub early: Early,
+    /// The customers' names in their order.
+    pub customers: Vec<String>,
+    /// The others that it shares with, where a file names them.
+    pub fellows: Option<Rc<Fellows<Proxy>>>,
+    name: String,
     /// The size of one ring.
     ring: usize,
     pub stop: LoopSignal,
@@ -47,6 +55,8 @@
 pub enum ServeFault {
     #[error("cannot listen on {at} ({source}): see that the address is this machine's and that nobody listens there")]
     Listen { at: SocketAddr, source: std::io::Error },
+    #[error("{0}")]
+    Fleet(#[from] FleetFault),
     #[error("the event loop: {0}: see the limits on descriptors and memory, and start it again")]
     Loop(#[from] calloop::Error),
 }
@@ -54,6 +64,7 @@
 /// Serves until told to end.
 pub fn serve(start: Start) -> Result<(), ServeFault> {
     let ring = ring_size(start.limits);
+    let fleet = FleetFile::from_environment(&start.name)?;
     if let Err(fault) = limit_descriptors(start.limits.sockets) {
         log::warn!("the limit on descriptors stays as it is: {fault}");
     }
@@ -75,7 +86,9 @@
 
     // Where the list is pushed, all of it is asked for at the start, so that the answer comes at once.
     let pushed = start.terms.list_is_pushed;
-    let seq = Some(start.known.seq).filter(|_| !start.known.entries.is_empty() && !pushed);
+    let whole = start.known.entries.is_empty() || pushed || fleet.is_some();
+    let seq = Some(start.known.seq).filter(|_| !whole);
+    let return_terms = fleet.as_ref().map(|fleet| comeback::terms(&start.terms, fleet));
     let signs = (start.terms.may_probe, start.terms.tells_delay);
     let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, signs);
     let now = hands.clock.now();
@@ -86,20 +99,33 @@
         offerings: start.terms.offerings,
         door,
         discovery: Discovery::new(start.discovery, seq),
-        early: if pushed { Early::until_the_list_is_heard(now) } else { Early::default() },
+        early: match &fleet {
+            Some(fleet) => Early::until_the_return_serves(now, fleet.list_wait),
+            None if pushed => Early::until_the_list_is_heard(now),
+            None => Early::default(),
+        },
+        customers: start.terms.customers.iter().map(|(name, _)| name.clone()).collect(),
+        fellows: None,
+        name: start.name,
         ring,
         stop: events.get_signal(),
         pulses_taken: now,
         told_to_end: None,
         last_arrival: now,
     };
-    proxy.hands.follow(&start.known);
-    proxy.chooser.start(&start.known.lines(), now, &mut proxy.hands);
+    // With fellows, what is known from before is for the return to judge.
+    let known = if fleet.is_some() { Vec::new() } else { start.known.lines() };
+    let dials = start.known.entries.iter().map(|entry| entry.dial);
+    proxy.hands.follow(known.iter().zip(dials), true);
+    proxy.chooser.start(&known, now, &mut proxy.hands);
     // Lines come back at once here however strained a server is.
     proxy.chooser.look_round(!proxy.hands.tells_delay, now, &mut proxy.hands);
+    if let Some((file, terms)) = fleet.zip(return_terms) {
+        proxy.join_fellows(file, terms, &start.known, start.seed)?;
+    }
     proxy.settle();
     let address = proxy.door.address().map_err(|source| ServeFault::Listen { at: start.listen, source })?;
-    log::info!("{} listens on {address}, {} servers known", start.name, proxy.hands.servers.len());
+    log::info!("{} listens on {address}, {} servers known", proxy.name, start.known.entries.len());
     events.run(None, &mut proxy, |_| {})?;
     tally.log();
     Ok(())
@@ -145,7 +171,7 @@
         } else {
             self.hands.tally.count("circuits");
             self.last_arrival = now;
-            if self.early.waits() {
+            if self.early.waits() && self.fellows.is_none() {
                 self.early.holds(&circuit);
             } else {
                 self.place(&circuit);
@@ -212,7 +238,7 @@
             let now = self.now();
             self.chooser.ended(circuit, ending, done, now, &mut self.hands);
         }
-        if self.hands.wants_list.take() {
+        if self.hands.wants_list.take() && self.asks_discovery() {
             self.discovery.clone().ask(self);
         }
         while let Some(server) = self.hands.to_probe.pop_front() {
@@ -261,6 +287,9 @@
             Ok(start) => start,
             Err(fault) => return log::error!("not read again, nothing changes: {fault}"),
         };
+        if let Some(fault) = self.fellows.clone().and_then(|fellows| fellows.read_again(&self.name).err()) {
+            log::error!("fleet file not read again, nothing changes: {fault}");
+        }
         let moves = self.discovery.clone().move_to(start.discovery, self);
         log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
         if moves {
@@ -285,8 +314,12 @@
         let now = self.now();
         log::debug!("list {}: {} lines, whole {}", listing.seq, listing.entries.len(), listing.whole);
         self.hands.list_heard.set(true);
-        self.hands.follow(listing);
-        self.chooser.listed(&listing.lines(), listing.whole, now);
+        if self.list_is_for_fellows(listing) {
+            return;
+        }
+        let lines = listing.lines();
+        self.hands.follow(lines.iter().zip(listing.entries.iter().map(|entry| entry.dial)), listing.whole);
+        self.chooser.listed(&lines, listing.whole, now);
         self.hands.take_over_waiting();
         self.settle();
         self.list_is_here();
--- a/crates/proxy/src/start.rs
+++ b/crates/proxy/src/start.rs
@@ -39,6 +39,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// For all that is left to chance.
+    pub seed: u64,
     pub terms: Terms,
     pub limits: Limits,
     /// The list as this proxy last had it; may be old.
@@ -90,6 +92,7 @@
             name: or_else(file.name, "RELAY_NAME")?,
             listen: address(file.listen, "RELAY_LISTEN")?,
             discovery: address(file.discovery, "RELAY_DISCOVERY")?,
+            seed,
             terms: shelfgrade_terms::parse(seed, file.settings.get())?,
             limits: file.limits,
             known: known.unwrap_or_default(),
--- a/crates/recovery/src/asking.rs
+++ b/crates/recovery/src/asking.rs
@@ -20,8 +20,6 @@
 /// What an asker tells all once a second.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Beat {
-    /// Goes up with each beat, and from one life of the asker to the next.
-    pub number: u64,
     /// What the list came to there: the count, the version and a digest of all lines.
     pub epoch: u64,
     pub seq: u64,
@@ -38,7 +36,7 @@
     /// The seats in the order in which they ask.
     order: Vec<Seat>,
     began: Point,
-    beats: BTreeMap<Seat, (Beat, Option<Point>)>,
+    beats: BTreeMap<Seat, (u64, Beat, Option<Point>)>,
     unanswered_since: BTreeMap<Seat, Point>,
 }
 
@@ -67,11 +65,11 @@
         first.all(|seat| since(seat).is_some_and(|at| now.since(at) > FRESH))
     }
 
-    /// A beat was heard. Guards against taking one that was kept from before for a sign of life: it counts when it goes
-    /// on, and what this process has heard at its start does not.
-    pub fn heard(&mut self, from: Seat, beat: Beat, now: Point) {
+    /// A beat was heard, by its number, which goes up from one to the next. Guards against taking one that was kept from
+    /// before for a sign of life: it counts where it goes on, or is of the life that its asker has now.
+    pub fn heard(&mut self, from: Seat, number: u64, beat: Beat, of_this_life: bool, now: Point) {
         let held = self.beats.get(&from);
-        if held.is_some_and(|held| beat.number <= held.0.number) {
+        if held.is_some_and(|held| number <= held.0) {
             return;
         }
         if beat.answered {
@@ -79,15 +77,15 @@
         } else {
             self.unanswered_since.entry(from).or_insert(now);
         }
-        let goes_on = held.is_some().then_some(now);
-        self.beats.insert(from, (beat, goes_on));
+        let goes_on = (held.is_some() || of_this_life).then_some(now);
+        self.beats.insert(from, (number, beat, goes_on));
     }
 
     /// The newest beat of an asker that discovery answers.
     pub fn fresh(&self, now: Point) -> Option<&Beat> {
         let goes_on = |at: Option<Point>| at.is_some_and(|at| now.since(at) < FRESH);
-        let fresh = self.beats.values().filter(|(beat, at)| beat.answered && goes_on(*at));
-        fresh.map(|(beat, _)| beat).max_by_key(|beat| (beat.epoch, beat.seq, beat.number))
+        let fresh = self.beats.values().filter(|(_, beat, at)| beat.answered && goes_on(*at));
+        fresh.max_by_key(|(number, beat, _)| (beat.epoch, beat.seq, *number)).map(|(_, beat, _)| beat)
     }
 }
 
@@ -136,7 +134,7 @@
         let tell = |all: &mut Vec<Asking>, answered, number, now| {
             for one in all.iter_mut() {
                 for from in &first {
-                    one.heard(*from, Beat { number, epoch: 1, seq: 4, digest: 7, answered }, now);
+                    one.heard(*from, number, Beat { epoch: 1, seq: 4, digest: 7, answered }, false, now);
                 }
             }
         };
@@ -154,12 +152,14 @@
     #[test]
     fn a_beat_from_before_is_no_sign_of_life() {
         let mut one = all(3).remove(0);
-        let beat = |number| Beat { number, epoch: 1, seq: 4, digest: 7, answered: true };
-        one.heard(Seat(1), beat(900), at(0.0));
-        one.heard(Seat(1), beat(900), at(1000.0));
-        one.heard(Seat(1), beat(899), at(1000.0));
+        let beat = || Beat { epoch: 1, seq: 4, digest: 7, answered: true };
+        one.heard(Seat(1), 900, beat(), false, at(0.0));
+        one.heard(Seat(1), 900, beat(), true, at(1000.0));
+        one.heard(Seat(1), 899, beat(), true, at(1000.0));
         assert!(one.fresh(at(1000.0)).is_none());
-        one.heard(Seat(1), beat(901), at(2000.0));
+        one.heard(Seat(1), 901, beat(), false, at(2000.0));
         assert!(one.fresh(at(2000.0)).is_some());
+        one.heard(Seat(2), 7, beat(), true, at(9000.0));
+        assert!(one.fresh(at(9000.0)).is_some(), "written since the power was back");
     }
 }
--- a/crates/recovery/src/counting.rs
+++ b/crates/recovery/src/counting.rs
@@ -12,6 +12,9 @@
 /// How many versions' lists are remembered; with eight bytes each they fit in one entry.
 pub const REMEMBERED: usize = 64;
 
+/// Versions within one count, of which there are fewer.
+const SEQS: u64 = 1 << 40;
+
 /// What all know of the list: the count, the version reached, and what it was at the last ones.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counting {
@@ -62,9 +65,13 @@
 
     /// The version of a server's line in what all share: any of a later count is newer than all of an earlier one.
     pub fn stamp(&self, seq: u64) -> u64 {
-        const SEQS: u64 = 1 << 40;
         self.epoch * SEQS + seq.min(SEQS - 1)
     }
+
+    /// Which count such a version is of.
+    pub fn epoch_of(stamp: u64) -> u64 {
+        stamp / SEQS
+    }
 }
 
 #[cfg(test)]
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -54,9 +54,18 @@
     bounds: Bounds,
     invariants: Invariants,
     #[serde(default)]
+    customers: Vec<Customer>,
+    #[serde(default)]
     extra: Extra,
 }
 
+#[derive(Deserialize)]
+struct Customer {
+    name: String,
+    #[serde(default)]
+    share: Amount,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Discovery {
@@ -73,6 +82,8 @@
     #[serde(default)]
     window_ms: Amount,
     soft_limit_ms: Option<Amount>,
+    #[serde(default)]
+    benefit: Amount,
 }
 
 #[derive(Deserialize)]
@@ -139,6 +150,14 @@
     pub chooser: Chooser,
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
+    /// What each is owed, in the same order: the time within which a connection should stand, and a second's benefit.
+    pub owed: Vec<(Option<Span>, f64)>,
+    /// The customers' names and shares.
+    pub customers: Vec<(String, f64)>,
+    /// How long a server takes to be warm.
+    pub warm_up: Span,
+    /// The longest that a client stays away when told to.
+    pub most_pause: Span,
     /// A connection that is not established within this has failed; none where the terms leave it open.
     pub dial_time_out: Option<Span>,
     /// The list is pushed: what its service has counts as told, whether or not it was heard.
@@ -153,7 +172,7 @@
 pub fn parse(seed: u64, text: &str) -> Result<Terms, TermsFault> {
     let env: Env = serde_json::from_str(text)?;
     let proxies = env.balancers.map_or(MANY, NonZeroUsize::get);
-    let Env { offerings, invariants, bounds, extra, .. } = env;
+    let Env { offerings, invariants, bounds, extra, customers, .. } = env;
     let all_hold = all_hold(&extra.tenant_quota_connections);
     if all_hold.is_some() && extra.server_connections.is_some() {
         return Err(TermsFault::ToldTwice);
@@ -170,6 +189,10 @@
         Discovery::Automatic => None,
         Discovery::Subscribe => Some(Span::from_ms(invariants.must_ask_in_ms.0)),
     };
+    let owed =
+        offerings.iter().map(|class| (class.soft_limit_ms.map(|l| Span::from_ms(l.0)), class.benefit.0));
+    let owed = owed.collect();
+    let (span, most_pause) = (warm_up.cold_span, Span::from_ms(bounds.max_retry_after_ms.0));
     let known = offerings.iter().enumerate().map(|(i, class)| Offering {
         effect: match class.idempotency {
             Idempotency::Repeatable => Effect::Replayable,
@@ -186,17 +209,14 @@
         soft_limit: class.soft_limit_ms.map(|limit| Span::from_ms(limit.0)),
         message_limit: extra.message_aim_ms.get(i).map(|limit| Span::from_ms(limit.0)),
     });
-    let chooser = Chooser::new(
-        seed,
-        known.collect(),
-        bounds.most_connects,
-        Span::from_ms(bounds.max_retry_after_ms.0),
-        must_ask_in,
-        warm_up,
-    );
+    let chooser = Chooser::new(seed, known.collect(), bounds.most_connects, most_pause, must_ask_in, warm_up);
     Ok(Terms {
         chooser,
         offerings: offerings.into_iter().map(|o| o.name).collect(),
+        owed,
+        customers: customers.into_iter().map(|c| (c.name, c.share.0)).collect(),
+        warm_up: span,
+        most_pause,
         dial_time_out: Some(bounds.dial_timeout_ms.0).filter(|ms| *ms > 0.0).map(Span::from_ms),
         list_is_pushed: must_ask_in.is_none(),
         tells_delay: extra.tells_delay,
--- /dev/null
+++ b/crates/trials/src/process.rs
@@ -0,0 +1,230 @@
+//! The program itself: real processes, each with files of its own, that are killed, stopped, woken and started again.
+
+use crate::clients::{CLASSES, CUSTOMERS};
+use crate::record::Record;
+use crate::relay::Relay;
+use crate::server::{Make, Server};
+use nanorand::{Rng, WyRand};
+use rustix::process::{kill_process, Pid, Signal};
+use std::fmt::Write as _;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, Once, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The program, built as these tests are; built now where it is not.
+pub fn program() -> PathBuf {
+    static BUILT: Once = Once::new();
+    let tests = std::env::current_exe().expect("this program's path");
+    let folder = tests.ancestors().find(|path| path.ends_with("debug") || path.ends_with("release"));
+    let folder = folder.expect("cargo's folder").to_owned();
+    BUILT.call_once(|| {
+        let mut build = Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".into()));
+        build.args(["build", "--quiet", "--locked", "-p", "shelfgrade-proxy", "--bin", "shelfgrade"]);
+        build.args(folder.ends_with("release").then_some("--release"));
+        let built = build.current_dir(env!("CARGO_MANIFEST_DIR")).status();
+        assert!(built.is_ok_and(|status| status.success()), "the program is built");
+    });
+    folder.join("shelfgrade")
+}
+
+/// What the processes of a trial are given.
+pub struct Given {
+    pub folder: PathBuf,
+    pub discovery: SocketAddr,
+    pub make: Make,
+    /// Whether they are told of each other.
+    pub fleet: bool,
+    /// The list that they are started with.
+    pub known: String,
+}
+
+pub struct Process {
+    pub name: String,
+    pub index: usize,
+    pub listen: SocketAddr,
+    /// How far its clock is off.
+    pub ahead_ms: i64,
+    child: Option<Child>,
+    folder: PathBuf,
+}
+
+impl Process {
+    pub fn new(index: usize, given: &Given) -> Self {
+        let name = format!("n{index:03}");
+        let folder = given.folder.join(&name);
+        fs::create_dir_all(folder.join("state")).expect("a folder of its own");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("an address on loopback");
+        let listen = listener.local_addr().expect("the address");
+        Process { name, index, listen, ahead_ms: 0, child: None, folder }
+    }
+
+    pub fn state_dir(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    pub fn fleet_file(&self) -> PathBuf {
+        self.folder.join("fleet.toml")
+    }
+
+    pub fn write_files(&self, given: &Given, relay: &Relay, names: &[String]) {
+        let mut fellows = String::new();
+        for (name, address) in names.iter().zip(relay.addresses(self.index)) {
+            writeln!(fellows, "{name} = \"{address}\"").expect("text");
+        }
+        let state = self.state_dir();
+        let fleet = format!(
+            "fleet = \"trial\"\nstate_dir = \"{}\"\nsave_every_ms = 200\n\n[fellows]\n{fellows}",
+            state.display()
+        );
+        fs::write(self.fleet_file(), fleet).expect("its fleet file");
+        fs::write(self.folder.join("start.json"), start_file(self, given, names.len()))
+            .expect("its start-up file");
+    }
+
+    pub fn starts(&mut self, given: &Given) {
+        let log = File::options().create(true).append(true).open(self.folder.join("log")).expect("its log");
+        let mut command = Command::new(program());
+        command.env("RELAY_CONFIG", self.folder.join("start.json")).env("RUST_LOG", "info,calloop=error");
+        command.env("SHELFGRADE_CLOCK_AHEAD_MS", self.ahead_ms.to_string());
+        if given.fleet {
+            command.env("SHELFGRADE_FLEET", self.fleet_file());
+        }
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.child = Some(command.spawn().expect("the program starts"));
+    }
+
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    pub fn is_killed(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Its exit code, once it has ended by itself.
+    pub fn has_ended(&mut self) -> Option<Option<i32>> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status.code())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.is_killed();
+    }
+}
+
+fn start_file(process: &Process, given: &Given, size: usize) -> String {
+    let classes = CLASSES.iter().map(|class| {
+        let (name, idempotency, limit, benefit) =
+            (class.name, class.idempotency, class.soft_limit_ms, class.benefit);
+        format!(
+            r#"{{"name":"{name}","idempotency":"{idempotency}","soft_limit_ms":{limit},"benefit":{benefit}}}"#
+        )
+    });
+    let customers = CUSTOMERS.iter().map(|(name, share)| format!(r#"{{"name":"{name}","share":{share}}}"#));
+    let (classes, customers) =
+        (classes.collect::<Vec<_>>().join(","), customers.collect::<Vec<_>>().join(","));
+    let Make { room, cold_from, cold, factor, window, .. } = given.make;
+    let (name, listen, discovery) = (&process.name, process.listen, given.discovery);
+    let seed = 0x8c1f_30d2_7a5b_e964_u64.wrapping_add(process.index as u64 * 0x9e37_79b9);
+    format!(
+        r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:x}",
+"limits":{{"cores":1.0,"memory_mb":64,"sockets":1024}},"known":{},
+"settings":{{"balancers":{size},"discovery":"subscribe","offerings":[{classes}],"customers":[{customers}],
+"bounds":{{"most_connects":4,"max_retry_after_ms":2000,"dial_timeout_ms":250,"probes":true}},
+"invariants":{{"overload_factor":{factor},"overload_for_ms":{},"cold_from":{cold_from},"cold_ms":{},
+"must_ask_in_ms":10000,"stop_sending_within_ms":400}},
+"extra":{{"message_aim_ms":[250,250,250,250],"server_connections":{room}}}}}}}"#,
+        given.known,
+        window.as_millis(),
+        cold.as_millis(),
+    )
+}
+
+pub fn known(servers: &[Arc<Server>]) -> String {
+    let entry = |server: &Arc<Server>| {
+        let (name, dial, born) = (&server.name, server.address, server.born_ms());
+        format!(
+            r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m2","block":0,"health":"in_service","born_ms":{born}}}"#
+        )
+    };
+    let entries: Vec<_> = servers.iter().map(entry).collect();
+    format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, entries.join(","))
+}
+
+/// Deals clients out among the processes that are ready: those that have answered `PING` with `PONG` since their start.
+pub struct Front {
+    addresses: Vec<SocketAddr>,
+    ready: Mutex<Vec<bool>>,
+}
+
+impl Front {
+    pub fn begin(addresses: Vec<SocketAddr>, record: &Record) -> Arc<Self> {
+        let ready = Mutex::new(vec![false; addresses.len()]);
+        let front = Arc::new(Front { addresses, ready });
+        for index in 0..front.addresses.len() {
+            tokio::spawn(front.clone().looks_after(index, record.clone()));
+        }
+        front
+    }
+
+    fn ready(&self) -> std::sync::MutexGuard<'_, Vec<bool>> {
+        self.ready.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn number_ready(&self) -> usize {
+        self.ready().iter().filter(|ready| **ready).count()
+    }
+
+    pub fn deals(&self, chance: &mut WyRand) -> Option<(usize, SocketAddr)> {
+        let ready: Vec<usize> =
+            self.ready().iter().enumerate().filter(|(_, ready)| **ready).map(|(i, _)| i).collect();
+        let index = *ready.get(chance.generate_range(0..ready.len().max(1)))?;
+        Some((index, self.addresses[index]))
+    }
+
+    async fn looks_after(self: Arc<Self>, index: usize, _record: Record) {
+        loop {
+            let pong = timeout(Duration::from_millis(1500), signs(self.addresses[index])).await;
+            self.ready()[index] = matches!(pong, Ok(true));
+            sleep(Duration::from_millis(if matches!(pong, Ok(true)) { 300 } else { 50 })).await;
+        }
+    }
+}
+
+async fn signs(address: SocketAddr) -> bool {
+    let Ok(stream) = TcpStream::connect(address).await else { return false };
+    let mut stream = BufReader::new(stream);
+    let mut line = String::new();
+    stream.write_all(b"PING\r\n").await.is_ok()
+        && stream.read_line(&mut line).await.is_ok()
+        && line.trim_end() == "PONG"
+}
+
+/// Whether a process's disk has something to begin with.
+pub fn has_snapshot(folder: &Path) -> bool {
+    fs::read_dir(folder).is_ok_and(|mut files| {
+        files.any(|file| file.is_ok_and(|f| f.file_name().to_string_lossy().starts_with("shelfgrade.")))
+    })
+}
--- /dev/null
+++ b/crates/trials/src/trial.rs
@@ -0,0 +1,236 @@
+//! A whole trial: so many processes, servers and clients, and what is done to them.
+
+use crate::checks;
+use crate::clients::Clients;
+use crate::discovery::Discovery;
+use crate::process::{known, Front, Given, Process};
+use crate::record::Record;
+use crate::relay::Relay;
+use crate::server::{Make, Server, MAKE};
+use nanorand::{Rng, WyRand};
+use rustix::process::Signal;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub processes: usize,
+    pub servers: usize,
+    pub clients: usize,
+    /// Whether the processes are told of each other.
+    pub fleet: bool,
+    pub seed: u64,
+    pub make: Make,
+}
+
+/// Six processes before eight servers with room for three hundred and twenty, of which two hundred are taken.
+pub const SMALL: Shape = Shape { processes: 6, servers: 8, clients: 200, fleet: true, seed: 1, make: MAKE };
+
+pub struct Trial {
+    pub shape: Shape,
+    pub record: Record,
+    pub servers: Vec<Arc<Server>>,
+    pub discovery: Arc<Discovery>,
+    pub relay: Relay,
+    pub front: Arc<Front>,
+    pub processes: Vec<Process>,
+    pub given: Given,
+    pub chance: WyRand,
+    clients: Option<Clients>,
+    _folder: TempDir,
+}
+
+impl Trial {
+    /// Servers, discovery and the way between the processes, which do not run yet.
+    pub async fn begin(shape: Shape) -> Self {
+        let record = Record::default();
+        let mut servers = Vec::new();
+        for index in 0..shape.servers {
+            servers.push(Server::begin(index, shape.make, record.clone()).await);
+        }
+        let discovery = Discovery::begin(record.clone()).await;
+        discovery.says(&servers.iter().map(|s| &**s).collect::<Vec<_>>(), "in_service");
+        let relay = Relay::begin(shape.processes, shape.seed).await;
+        let folder = TempDir::new().expect("a folder");
+        let given = Given {
+            folder: folder.path().to_owned(),
+            discovery: discovery.address,
+            make: shape.make,
+            fleet: shape.fleet,
+            known: known(&servers),
+        };
+        let processes: Vec<_> = (0..shape.processes).map(|index| Process::new(index, &given)).collect();
+        let names: Vec<_> = processes.iter().map(|process| process.name.clone()).collect();
+        processes.iter().for_each(|process| process.write_files(&given, &relay, &names));
+        let front = Front::begin(processes.iter().map(|process| process.listen).collect(), &record);
+        Trial {
+            shape,
+            record,
+            servers,
+            discovery,
+            relay,
+            front,
+            processes,
+            given,
+            chance: WyRand::new_seed(shape.seed),
+            clients: None,
+            _folder: folder,
+        }
+    }
+
+    /// One that runs, with all its clients settled.
+    pub async fn running(shape: Shape) -> Self {
+        let mut trial = Self::begin(shape).await;
+        (0..shape.processes).for_each(|index| trial.start(index));
+        trial.until_ready(shape.processes).await;
+        trial.clients_come(Duration::from_millis(1500));
+        trial
+            .until(Duration::from_secs(20), "all clients stand", |trial| trial.standing() == shape.clients)
+            .await;
+        sleep(Duration::from_secs(2)).await;
+        trial
+    }
+
+    /// Has clients come before a proxy of another kind, in place of the processes.
+    pub fn before(&mut self, address: SocketAddr) {
+        self.front = Front::begin(vec![address], &self.record);
+    }
+
+    pub fn clients_come(&mut self, within: Duration) {
+        let Shape { clients, seed, .. } = self.shape;
+        self.clients = Some(Clients::come(clients, within, &self.front, &self.record, seed));
+    }
+
+    pub fn standing(&self) -> usize {
+        self.record.seen().stand_now
+    }
+
+    /// Waits for a condition.
+    pub async fn until(&mut self, limit: Duration, what: &str, mut holds: impl FnMut(&mut Self) -> bool) {
+        let began = self.record.now();
+        while !holds(self) {
+            let (stand, logs) =
+                (self.standing(), if self.record.now() - began < limit { None } else { Some(self.logs()) });
+            assert!(logs.is_none(), "not in time: {what}; {stand} stand\n{}", logs.unwrap_or_default());
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub async fn until_ready(&mut self, number: usize) {
+        self.until(Duration::from_secs(15), "processes are ready", |t| t.front.number_ready() >= number)
+            .await;
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let now = self.record.now();
+        let mut seen = self.record.seen();
+        let away = seen.away.iter_mut().rev().find(|away| away.0 == index && away.2 == Duration::MAX);
+        // Clients that are dealt to it in its first moments may find nobody yet.
+        away.into_iter().for_each(|away| away.2 = now + Duration::from_millis(300));
+        drop(seen);
+        self.processes[index].starts(&self.given);
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        let now = self.record.now();
+        self.record.seen().away.push((index, now, Duration::MAX));
+        self.processes[index].is_killed();
+    }
+
+    /// Stops a process where it stands.
+    pub fn stop(&mut self, index: usize) {
+        let now = self.record.now();
+        self.record.seen().away.push((index, now, Duration::MAX));
+        self.processes[index].signal(Signal::STOP);
+    }
+
+    /// Has a stopped process go on; what it did meanwhile is nothing it can be blamed for.
+    pub fn wake(&mut self, index: usize) {
+        let now = self.record.now();
+        let mut seen = self.record.seen();
+        let away = seen.away.iter_mut().rev().find(|away| away.0 == index && away.2 == Duration::MAX);
+        away.into_iter().for_each(|away| away.2 = now + Duration::from_millis(300));
+        drop(seen);
+        self.processes[index].signal(Signal::CONT);
+    }
+
+    /// The power goes: all processes are killed in the same instant, all servers and discovery are without.
+    pub fn power_goes(&mut self) {
+        (0..self.shape.processes).for_each(|index| self.processes[index].signal(Signal::KILL));
+        self.servers.iter().for_each(|server| server.loses_power());
+        self.discovery.goes();
+        (0..self.shape.processes).for_each(|index| self.kill(index));
+        // What drained is out of the trial: it starts anew.
+        let now = self.record.now();
+        self.record.seen().drains.iter_mut().filter(|d| d.2.is_none()).for_each(|d| d.2 = Some(now));
+    }
+
+    /// Servers start cold, and discovery says so.
+    pub fn servers_start(&self) {
+        self.servers.iter().for_each(|server| server.starts());
+        self.discovery.is_back();
+        self.discovery.says(&self.servers.iter().map(|s| &**s).collect::<Vec<_>>(), "in_service");
+    }
+
+    /// Discovery says that a server drains from now on.
+    pub fn drains(&self, server: usize) {
+        self.discovery.says(&[&self.servers[server]], "terminating");
+        let now = self.record.now();
+        self.record.seen().drains.push((server, now, None));
+    }
+
+    pub fn draws(&mut self, below: usize) -> usize {
+        self.chance.generate_range(0..below.max(1))
+    }
+
+    /// Calls that began a new watch, or were the first on their connection, in a span.
+    pub fn calls(&self, from: Duration, to: Duration) -> usize {
+        let seen = self.record.seen();
+        seen.calls.iter().filter(|(at, first)| *first && *at >= from && *at < to).count()
+    }
+
+    /// What each process logged, for a trial that went wrong.
+    pub fn logs(&self) -> String {
+        let tail = |process: &Process| {
+            let log = process.log();
+            let lines: Vec<_> = log.lines().collect();
+            let from = lines.len().saturating_sub(14);
+            format!("{}:\n{}\n", process.name, lines[from..].join("\n"))
+        };
+        self.processes.iter().map(tail).collect()
+    }
+
+    /// Ends the trial: clients leave, processes are told to end, and all rules must have held.
+    pub async fn ends(mut self) {
+        self.clients.take().into_iter().for_each(|clients| clients.leave());
+        sleep(Duration::from_millis(300)).await;
+        let breaches = checks::rules(&self.record);
+        let shown: Vec<String> = breaches.iter().take(12).map(ToString::to_string).collect();
+        assert!(breaches.is_empty(), "{} breaches:\n{}\n{}", breaches.len(), shown.join("\n"), self.logs());
+        for process in &self.processes {
+            process.signal(Signal::CONT);
+            process.signal(Signal::TERM);
+        }
+        let running = |trial: &mut Trial| {
+            let ended = |process: &mut Process| {
+                !process.runs()
+                    || process
+                        .has_ended()
+                        .inspect(|code| {
+                            assert_eq!(*code, Some(0), "{}", process.log());
+                        })
+                        .is_some()
+            };
+            trial.processes.iter_mut().all(ended)
+        };
+        self.until(Duration::from_secs(6), "all processes have ended", running).await;
+        for process in &self.processes {
+            let log = process.log();
+            let broken = log.lines().any(|l| l.contains("panicked") || l.contains("does not hold"));
+            assert!(!broken, "{}:\n{log}", process.name);
+        }
+    }
+}
