--- a/crates/proxy/src/fellows.rs
+++ b/crates/proxy/src/fellows.rs
@@ -47,9 +47,12 @@
     /// What was written last, and when.
     saved: Cell<(u64, Point)>,
     /// What is to be told once the core has finished.
-    told: RefCell<Vec<Box<dyn FnOnce(&mut C)>>>,
+    told: RefCell<Vec<Told<C>>>,
 }
 
+/// Something to tell once the core, which is telling it, can be called again.
+type Told<C> = Box<dyn FnOnce(&mut C)>;
+
 /// The core's way out.
 struct Out<'a, C: Company> {
     fellows: &'a Fellows<C>,
