--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What CI does is in .ci/run; `make lint test` is the same by hand.
 
-.PHONY: build test lint run
+.PHONY: build test lint run try
 
 build:
 	cargo build --release --locked
@@ -15,3 +15,7 @@
 # CONFIG names the start-up file; README.md shows one.
 run: build
 	RELAY_CONFIG=$(CONFIG) target/release/shelfgrade
+
+# A small fleet from shipped files against stand-ins: places clients, survives a loss of power, says what happened.
+try:
+	cargo run --release --locked --quiet -p shelfgrade-trials --example try
--- a/crates/trials/tests/processes.rs
+++ b/crates/trials/tests/processes.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// One trial at a time: each wants the machine's cores for its processes.
+static CORES: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Nearly all clients of a trial.
 fn most(trial: &Trial) -> usize {
     trial.shape.clients * 98 / 100
@@ -21,6 +24,7 @@
 /// Each rule's check has to catch a proxy that breaks just that rule.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn each_rules_check_catches_a_proxy_that_breaks_it() {
+    let _cores = CORES.lock().await;
     for wrong in [Wrong::Silent, Wrong::AnswersTwice, Wrong::SendsTwice, Wrong::First] {
         let mut trial = Trial::begin(Shape { processes: 0, servers: 3, clients: 120, ..SMALL }).await;
         let address = rogue::begin(wrong, trial.servers.iter().map(|server| server.address).collect()).await;
@@ -51,6 +55,7 @@
 /// All processes are killed in the same instant, every server is cold as it comes back, and every disk has another fault.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn after_a_loss_of_power_service_is_back_whatever_the_disks_hold() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::running(SMALL).await;
     trial.power_goes();
     let file = |trial: &Trial, process: usize, generation: usize| {
@@ -88,6 +93,7 @@
 /// Processes come back one by one, the first alone, and the power goes again in the middle of that.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn processes_back_one_by_one_serve_what_they_may_and_a_second_loss_of_power_is_as_the_first() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::running(Shape { seed: 2, ..SMALL }).await;
     trial.power_goes();
     trial.servers_start();
@@ -109,6 +115,7 @@
 /// Discovery comes back last, has forgotten all, counts from 1, and calls a server in service that has drained for long.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_draining_server_that_discovery_has_forgotten_gets_nothing_new() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::running(Shape { seed: 3, clients: 200, ..SMALL }).await;
     trial.drains(0);
     trial.until(Duration::from_secs(20), "it is empty", |trial| trial.servers[0].holds() == 0).await;
@@ -134,6 +141,7 @@
 /// a process is stopped and wakes with what it knew; a server drains meanwhile.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn whatever_the_way_between_them_does_the_rules_hold_and_all_hear_of_a_drain() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::begin(Shape { seed: 4, clients: 200, ..SMALL }).await;
     trial.processes[1].ahead_ms = 3_600_000;
     trial.processes[2].ahead_ms = -3_600_000;
@@ -167,6 +175,7 @@
 /// Two processes under one name: neither is believed by the other's fellows for good, and nothing breaks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn two_processes_under_one_name_are_found_out_and_break_nothing() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::running(Shape { seed: 5, clients: 120, ..SMALL }).await;
     // The last one takes the first one's name: its fellows find either at its own address.
     trial.kill(5);
