--- a/crates/recovery/src/comeback.rs
+++ b/crates/recovery/src/comeback.rs
@@ -324,9 +324,8 @@
         self.corrected_ms = self.fleet.clock_correction_ms();
         let lines = self.lines(now);
         let (all, cold) = (lines.len(), lines.iter().filter(|line| line.listed.started.is_some()).count());
-        if self.back.state() != State::Serving {
-            self.back.list_is_here(lines.iter().map(|line| line.listed.started), now);
-        }
+        // Also where the wait had passed: servers that were not known then may be cold.
+        self.back.list_is_here(lines.iter().map(|line| line.listed.started), now);
         around.follow(lines, true);
         for (key, server, started_ms) in std::mem::take(&mut self.held) {
             if self.facts.get(&server).is_some_and(|fact| fact.born_ms == started_ms) {
--- a/crates/trials/src/drawn.rs
+++ b/crates/trials/src/drawn.rs
@@ -3,6 +3,9 @@
 use nanorand::{Rng, WyRand};
 use shelfgrade::time::{Point, Span};
 use shelfgrade_fleet::{Entry, Fleet, Roster, Seat, Surroundings};
+use shelfgrade_recovery::around::{Around, Line, Terms};
+use shelfgrade_recovery::comeback::Comeback;
+use shelfgrade_recovery::order::{Owed, State};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What the network does to datagrams.
@@ -18,9 +21,65 @@
 pub const CALM: Network = Network { delay_ms: (1, 5), lost: 0, doubled: 0 };
 pub const ROUGH: Network = Network { delay_ms: (1, 400), lost: 33, doubled: 20 };
 
+/// What runs in a process: the fleet's core alone, or the return over it.
+pub trait Core {
+    fn begin(roster: Roster, born: u64, seed: u64, now: Point, wall_ms: u64) -> Self;
+    fn fleet(&self) -> &Fleet;
+    fn next(&self) -> Point;
+    fn woke(&mut self, now: Point, wall_ms: u64, asked: &mut Asked);
+    fn heard(&mut self, datagram: &[u8], now: Point, wall_ms: u64, asked: &mut Asked);
+}
+
+impl Core for Fleet {
+    fn begin(roster: Roster, born: u64, seed: u64, now: Point, _: u64) -> Self {
+        Fleet::new(roster, born, seed, now)
+    }
+    fn fleet(&self) -> &Fleet {
+        self
+    }
+    fn next(&self) -> Point {
+        Fleet::next(self)
+    }
+    fn woke(&mut self, now: Point, wall_ms: u64, asked: &mut Asked) {
+        Fleet::woke(self, now, wall_ms, asked);
+    }
+    fn heard(&mut self, datagram: &[u8], now: Point, wall_ms: u64, asked: &mut Asked) {
+        Fleet::heard(self, datagram, now, wall_ms, asked);
+    }
+}
+
+impl Core for Comeback {
+    fn begin(roster: Roster, _: u64, seed: u64, now: Point, wall_ms: u64) -> Self {
+        let owed = |ms, benefit| Owed { soft_limit: Some(Span::millis(ms)), benefit };
+        let terms = Terms {
+            offerings: vec![owed(300, 3.0), owed(500, 5.0), owed(800, 1.0)],
+            shares: vec![0.5, 0.3, 0.2],
+            wait: Span::millis(2000),
+            warm_up: Span::millis(8600),
+            most_pause: Span::millis(2000),
+        };
+        Comeback::new(roster, terms, None, seed, (now, wall_ms))
+    }
+    fn fleet(&self) -> &Fleet {
+        Comeback::fleet(self)
+    }
+    fn next(&self) -> Point {
+        Comeback::next(self)
+    }
+    fn woke(&mut self, now: Point, wall_ms: u64, asked: &mut Asked) {
+        Comeback::woke(self, (now, wall_ms), asked);
+    }
+    fn heard(&mut self, datagram: &[u8], now: Point, wall_ms: u64, asked: &mut Asked) {
+        Comeback::heard(self, datagram, (now, wall_ms), asked);
+    }
+}
+
 /// One process: its core while it runs, and what it told.
-pub struct Process {
-    pub core: Option<Fleet>,
+pub struct Process<C> {
+    pub core: Option<C>,
+    /// It watches discovery, and the states of its return with their moments.
+    pub watches: bool,
+    pub states: Vec<(Point, State)>,
     /// It is stopped: nothing reaches it, and its clock goes on.
     stopped: bool,
     /// How far its wall clock is off, in milliseconds.
@@ -33,10 +92,24 @@
 
 /// What a core asked for in one call.
 #[derive(Default)]
-struct Asked {
+pub struct Asked {
     sent: Vec<(Seat, Vec<u8>)>,
     entries: Vec<Entry>,
     refused: Vec<&'static str>,
+    watches: Option<bool>,
+    state: Option<State>,
+}
+
+impl Around for Asked {
+    fn follow(&mut self, _: Vec<Line>, _: bool) {}
+    fn watch(&mut self, watches: bool) {
+        self.watches = Some(watches);
+    }
+    fn enters(&mut self, state: State, _: &str) {
+        self.state = Some(state);
+    }
+    fn held_before(&mut self, _: u64, _: &str, _: f64) {}
+    fn refused_list(&mut self, _: &str) {}
 }
 
 impl Surroundings for Asked {
@@ -55,9 +128,9 @@
 }
 
 /// A whole fleet. Time begins at an hour, so that clocks can be an hour back.
-pub struct Drawn {
+pub struct Drawn<C = Fleet> {
     pub now: Point,
-    pub processes: Vec<Process>,
+    pub processes: Vec<Process<C>>,
     pub network: Network,
     /// Pairs whose first one cannot reach the second.
     pub cut: BTreeSet<(Seat, Seat)>,
@@ -75,11 +148,13 @@
 
 const HOUR_MS: f64 = 3_600_000.0;
 
-impl Drawn {
+impl<C: Core> Drawn<C> {
     /// A fleet of so many seats, none of which runs.
     pub fn new(size: usize, network: Network, seed: u64) -> Self {
         let process = || Process {
             core: None,
+            watches: false,
+            states: Vec::new(),
             stopped: false,
             ahead_ms: 0,
             heard: Vec::new(),
@@ -118,7 +193,9 @@
         self.lives += 1;
         let roster = Roster::new("trial", self.names.iter().cloned(), &self.names[seat]).expect("a roster");
         let born = (self.wall_ms(seat) * 1000) + self.lives;
-        let core = Fleet::new(roster, born, self.seed.wrapping_add(self.lives * 0x9e37), self.now);
+        let seed = self.seed.wrapping_add(self.lives * 0x9e37);
+        let core = C::begin(roster, born, seed, self.now, self.wall_ms(seat));
+        (self.processes[seat].watches, self.processes[seat].states) = (false, Vec::new());
         self.processes[seat].core = Some(core);
         self.processes[seat].stopped = false;
         self.set_alarm(seat);
@@ -137,7 +214,7 @@
 
     fn set_alarm(&mut self, seat: usize) {
         let process = &self.processes[seat];
-        let next = process.core.as_ref().filter(|_| !process.stopped).map_or(Point::NEVER, Fleet::next);
+        let next = process.core.as_ref().filter(|_| !process.stopped).map_or(Point::NEVER, C::next);
         let before = std::mem::replace(&mut self.wakes[seat], next);
         self.alarms.remove(&(before, seat));
         if next < Point::NEVER {
@@ -146,7 +223,7 @@
     }
 
     pub fn core(&self, seat: usize) -> &Fleet {
-        self.processes[seat].core.as_ref().expect("a process that runs")
+        self.processes[seat].core.as_ref().expect("a process that runs").fleet()
     }
 
     pub fn running_seats(&self) -> Vec<usize> {
@@ -169,7 +246,7 @@
     }
 
     /// Has a process's core do something.
-    pub fn with<T>(&mut self, seat: usize, act: impl FnOnce(&mut Fleet, &mut dyn Surroundings) -> T) -> T {
+    pub fn with<T>(&mut self, seat: usize, act: impl FnOnce(&mut C, &mut Asked) -> T) -> T {
         let mut asked = Asked::default();
         let core = self.processes[seat].core.as_mut().expect("a process that runs");
         let done = act(core, &mut asked);
@@ -180,6 +257,8 @@
 
     fn carry_out(&mut self, seat: usize, asked: Asked) {
         let process = &mut self.processes[seat];
+        process.watches = asked.watches.unwrap_or(process.watches);
+        process.states.extend(asked.state.map(|state| (self.now, state)));
         process.heard.extend(asked.entries);
         asked.refused.into_iter().for_each(|why| *process.refused.entry(why).or_default() += 1);
         process.sent.0 += asked.sent.len() as u64;
--- /dev/null
+++ b/crates/trials/tests/returns.rs
@@ -0,0 +1,93 @@
+//! The return of three hundred in virtual time: who asks, when all know the list, and in which order states follow.
+
+use shelfgrade::time::{Point, Span};
+use shelfgrade_recovery::comeback::Comeback;
+use shelfgrade_recovery::order::State;
+use shelfgrade_recovery::trust::{Fact, Health};
+use shelfgrade_trials::drawn::{Drawn, Network};
+use std::collections::BTreeSet;
+
+const USUAL: Network = Network { delay_ms: (1, 20), lost: 2, doubled: 1 };
+const SIZE: usize = 300;
+
+/// Discovery's list: servers that started a moment ago.
+fn list(now: Point) -> Vec<(String, Fact)> {
+    let fact = || Fact {
+        dial: "10.1.0.18:8000".parse().ok(),
+        site: "a".into(),
+        kind: "m2".into(),
+        block: 0,
+        health: Health::InService,
+        born_ms: now.as_ms(),
+    };
+    (0..81).map(|i| (format!("s-{i:03}"), fact())).collect()
+}
+
+/// A whole fleet that has just started, with discovery there from `there_ms` on; whoever watches it asks once a second until
+/// it is answered. Gives the fleet after eight seconds and who has asked.
+fn comes_back(seed: u64, there_ms: u64, dead: &[usize]) -> (Drawn<Comeback>, Vec<(Point, usize)>) {
+    let mut fleet: Drawn<Comeback> = Drawn::running(SIZE, USUAL, seed);
+    dead.iter().for_each(|seat| fleet.kill(*seat));
+    let began = fleet.now;
+    let facts = list(began);
+    let (mut calls, mut answered) = (Vec::new(), BTreeSet::new());
+    let mut due = vec![began; SIZE];
+    while fleet.now.since(began) < Span::millis(8000) {
+        fleet.passes(50);
+        for seat in fleet.running_seats() {
+            if !fleet.processes[seat].watches || answered.contains(&seat) || fleet.now < due[seat] {
+                continue;
+            }
+            calls.push((fleet.now, seat));
+            due[seat] = fleet.now + Span::millis(1000);
+            if fleet.now.since(began) >= Span::millis(there_ms) {
+                answered.insert(seat);
+                let (facts, now) = (facts.clone(), fleet.now);
+                fleet.with(seat, |core, around| core.told(facts, true, 1, now, around));
+            }
+        }
+    }
+    (fleet, calls)
+}
+
+fn states(fleet: &Drawn<Comeback>, seat: usize) -> Vec<State> {
+    fleet.processes[seat].states.iter().map(|(_, state)| *state).collect()
+}
+
+/// Each of three hundred asked discovery for itself.
+#[test]
+fn three_ask_for_three_hundred_and_all_have_the_list_within_the_wait() {
+    let (fleet, calls) = comes_back(1, 0, &[]);
+    assert_eq!(calls.len(), 3, "{calls:?}");
+    let began = fleet.now - Span::millis(8000);
+    let late: Vec<_> = (0..SIZE).map(|seat| fleet.processes[seat].states[0].0.since(began).as_ms()).collect();
+    let slowest = late.iter().copied().fold(0.0, f64::max);
+    println!("three hundred have the list after {slowest} ms at the latest, with {} calls", calls.len());
+    assert!(slowest <= 2300.0 && (0..SIZE).all(|seat| states(&fleet, seat)[0] == State::Warming));
+    assert!(fleet.sum_of_parts() > 0.95 && fleet.sum_of_parts() <= 1.0 + 1e-9);
+}
+
+#[test]
+fn where_the_first_three_are_dead_the_next_step_in_and_where_discovery_is_late_nine_ask_at_most() {
+    let (_, calls) = comes_back(1, 0, &[]);
+    let first: Vec<usize> = calls.iter().map(|call| call.1).collect();
+    let (fleet, calls) = comes_back(1, 0, &first);
+    let asked: BTreeSet<_> = calls.iter().map(|call| call.1).collect();
+    assert!(calls.len() <= 6 && asked.is_disjoint(&first.iter().copied().collect()), "{calls:?}");
+    assert!(fleet.running_seats().iter().all(|seat| !states(&fleet, *seat).is_empty()));
+    let (fleet, calls) = comes_back(1, 60_000, &[]);
+    let asked: BTreeSet<_> = calls.iter().map(|call| call.1).collect();
+    assert!(asked.len() <= 9, "{asked:?}");
+    // Nobody knew any server: what is known from before has to do, and there is nothing.
+    assert!((0..SIZE).all(|seat| states(&fleet, seat) == [State::Serving]));
+}
+
+#[test]
+fn a_return_is_the_same_for_the_same_seed() {
+    let told = |seed| {
+        let (fleet, calls) = comes_back(seed, 300, &[3, 50]);
+        let states: Vec<_> = fleet.processes.iter().map(|process| process.states.clone()).collect();
+        (calls, states, fleet.processes.iter().map(|process| process.sent).collect::<Vec<_>>())
+    };
+    assert_eq!(told(5), told(5));
+}
