--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -215,6 +215,7 @@
         mid_flow: line.flag("stray")?,
         returned: line.flag("returned")?,
         turn: None,
+        among: None,
     })
 }
 
--- a/crates/namespaces/benches/look_up.rs
+++ b/crates/namespaces/benches/look_up.rs
@@ -9,7 +9,7 @@
     let name = |i: usize| format!("customer-{i}");
     let mut table = Table::default();
     let grant = |i| Grant { customer: name(i), part: Part::default(), room: 10 };
-    table.grant(Grants { version: 1, grants: (0..spaces).map(grant).collect() }).expect("grants");
+    table.grant(Grants { version: 1, others: 10, grants: (0..spaces).map(grant).collect() }).expect("grants");
     for i in 0..spaces {
         let rule = |r: usize| Rule {
             name: format!("r{r}"),
--- a/crates/namespaces/src/rules.rs
+++ b/crates/namespaces/src/rules.rs
@@ -118,6 +118,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Grants {
     pub version: u64,
+    /// Room for those without a namespace, in connections over the whole fleet.
+    #[serde(default)]
+    pub others: u32,
     #[serde(default, rename = "grant")]
     pub grants: Vec<Grant>,
 }
--- a/crates/namespaces/src/table.rs
+++ b/crates/namespaces/src/table.rs
@@ -77,6 +77,7 @@
     spaces: HashMap<String, Rc<InForce>>,
     grants: HashMap<String, Grant>,
     grants_version: u64,
+    others: u32,
     list: Vec<Listed>,
 }
 
@@ -87,7 +88,7 @@
         if grants.version < self.grants_version {
             return Err(SpaceFault::Old { told: grants.version, held: self.grants_version });
         }
-        self.grants_version = grants.version;
+        (self.grants_version, self.others) = (grants.version, grants.others);
         self.grants = grants.grants.into_iter().map(|grant| (grant.customer.clone(), grant)).collect();
         let mut out = Vec::new();
         let (list, grants) = (&self.list, &self.grants);
@@ -108,6 +109,11 @@
         Ok(out)
     }
 
+    /// Whether a namespace could be in force by what is granted now.
+    pub fn check(&self, space: &Space) -> Result<(), SpaceFault> {
+        space.check(self.grants.get(&space.customer))
+    }
+
     /// A namespace changes by itself and whole; where it is refused, the one before it stays.
     pub fn put(&mut self, space: Space) -> Result<Rc<InForce>, SpaceFault> {
         let grant = self.grants.get(&space.customer);
@@ -142,8 +148,21 @@
     /// The part of the whole that a customer's circuits may use of what cold servers bear: its room of all that is
     /// granted. Guards against a cold server that two share being sent two shares.
     pub fn share(&self, customer: &str) -> f64 {
-        let all: f64 = self.grants.values().map(|grant| f64::from(grant.room)).sum();
-        self.grants.get(customer).map_or(0.0, |grant| f64::from(grant.room) / all.max(1.0))
+        self.grants.get(customer).map_or(0.0, |grant| f64::from(grant.room) / self.all_rooms())
+    }
+
+    /// The part of the whole for those without a namespace; all of it where nothing is granted to anybody.
+    pub fn common_share(&self) -> f64 {
+        if self.grants.is_empty() {
+            1.0
+        } else {
+            f64::from(self.others) / self.all_rooms()
+        }
+    }
+
+    fn all_rooms(&self) -> f64 {
+        let granted: f64 = self.grants.values().map(|grant| f64::from(grant.room)).sum();
+        (granted + f64::from(self.others)).max(1.0)
     }
 
     /// Which rule decides a circuit: looked up in its customer's namespace and nowhere else, the first that matches.
--- a/crates/namespaces/tests/isolation.rs
+++ b/crates/namespaces/tests/isolation.rs
@@ -50,7 +50,7 @@
 
 fn granted() -> Grants {
     let grant = |customer: &str| Grant { customer: customer.into(), part: Part::default(), room: 60 };
-    Grants { version: 1, grants: CUSTOMERS.map(grant).to_vec() }
+    Grants { version: 1, others: 10, grants: CUSTOMERS.map(grant).to_vec() }
 }
 
 fn table(spaces: &[(usize, Vec<Rule>)]) -> Table {
@@ -119,7 +119,7 @@
         let part = Part { zones: vec![serde_pattern(&zone)], ..Part::default() };
         let mut table = Table::default();
         let grant = Grant { customer: "posta".into(), part, room: 60 };
-        table.grant(Grants { version: 1, grants: vec![grant] }).expect("grants");
+        table.grant(Grants { version: 1, others: 10, grants: vec![grant] }).expect("grants");
         table.follow(list());
         let _ = table.put(Space { customer: "posta".into(), version: 1, rules });
         for offering in ["alarm", "status"] {
--- /dev/null
+++ b/crates/proxy/src/choosers.rs
@@ -0,0 +1,214 @@
+//! The decisions of one process: one set for all circuits, and one for each customer that has a namespace, so that no
+//! customer's storm, jam or strain is another's. Each is the same decision module.
+
+use shelfgrade::choice::Chooser;
+use shelfgrade::handover::Remembered;
+use shelfgrade::host::{Arrival, CircuitId, Ending, Host, Listed, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Makes decisions for one more customer, from a seed.
+pub type Make = Box<dyn Fn(u64) -> Option<Chooser>>;
+
+struct Own {
+    chooser: Chooser,
+    /// What its customer is granted, in the order of the ids, and the part of the whole.
+    granted: Rc<[ServerId]>,
+    share: f64,
+}
+
+pub struct Choosers {
+    common: Chooser,
+    common_share: f64,
+    make: Make,
+    seed: u64,
+    /// By customer, for those that had a circuit since their namespace came.
+    own: BTreeMap<Rc<str>, Own>,
+    /// Whose circuits are not the common ones'.
+    owner: BTreeMap<CircuitId, Rc<str>>,
+    list: BTreeMap<ServerId, Listed>,
+    /// What an earlier life remembered, and until when that is of use.
+    remembered: Vec<(Remembered, Point)>,
+    probing: bool,
+    part: f64,
+}
+
+impl Choosers {
+    pub fn new(common: Chooser, make: Make, seed: u64) -> Self {
+        Choosers {
+            common,
+            common_share: 1.0,
+            make,
+            seed,
+            own: BTreeMap::new(),
+            owner: BTreeMap::new(),
+            list: BTreeMap::new(),
+            remembered: Vec::new(),
+            probing: false,
+            part: 0.0,
+        }
+    }
+
+    pub fn start(&mut self, last_held: &[Listed], now: Point, host: &mut dyn Host) {
+        self.keep(last_held, true);
+        self.common.start(last_held, now, host);
+    }
+
+    fn keep(&mut self, lines: &[Listed], whole: bool) {
+        if whole {
+            self.list.clear();
+        }
+        self.list.extend(lines.iter().map(|line| (line.server.clone(), line.clone())));
+        self.list.retain(|_, line| line.standing != Standing::Gone);
+    }
+
+    pub fn list(&self) -> Vec<Listed> {
+        self.list.values().cloned().collect()
+    }
+
+    pub fn listed(&mut self, lines: &[Listed], whole: bool, now: Point) {
+        self.keep(lines, whole);
+        self.common.listed(lines, whole, now);
+        for own in self.own.values_mut() {
+            own.chooser.listed(&granted(&self.list, &own.granted), true, now);
+        }
+    }
+
+    pub fn list_lost(&mut self, host: &mut dyn Host) {
+        self.common.list_lost(host);
+    }
+
+    pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
+        self.common.list_failed(now, host);
+    }
+
+    /// A customer's namespace is in force: from its next circuit on it has decisions of its own, over what it is granted.
+    pub fn has_space(
+        &mut self,
+        customer: &Rc<str>,
+        servers: &Rc<[ServerId]>,
+        share: f64,
+        now: Point,
+        host: &mut dyn Host,
+    ) {
+        if let Some(own) = self.own.get_mut(customer) {
+            (own.granted, own.share) = (servers.clone(), share);
+            own.chooser.listed(&granted(&self.list, servers), true, now);
+            return;
+        }
+        let seed = self.seed ^ xxhash_rust::xxh3::xxh3_64(customer.as_bytes());
+        // The settings made the common ones, so they make these.
+        let Some(mut chooser) = (self.make)(seed) else { return };
+        chooser.listed(&granted(&self.list, servers), true, now);
+        chooser.look_round(self.probing, now, host);
+        self.remembered.retain(|(_, until)| now < *until);
+        for (remembered, until) in &self.remembered {
+            chooser.remember(remembered, until.since(now), now);
+        }
+        let own = Own { chooser, granted: servers.clone(), share };
+        self.own.insert(customer.clone(), own);
+        self.may_do(self.part);
+    }
+
+    /// The part of the whole for those without a namespace.
+    pub fn common_has(&mut self, share: f64) {
+        self.common_share = share;
+        self.may_do(self.part);
+    }
+
+    /// What this process may do of what the fleet may, in parts of one proxy's; 0 where nobody has said.
+    pub fn may_do(&mut self, part: f64) {
+        self.part = part;
+        let part = if part > 0.0 { part } else { 1.0 };
+        self.common.may_do(part * self.common_share);
+        self.own.values().for_each(|own| own.chooser.may_do(part * own.share));
+    }
+
+    pub fn proxies(&self) -> f64 {
+        self.common.proxies()
+    }
+
+    fn of(&mut self, circuit: CircuitId) -> &mut Chooser {
+        let own = self.owner.get(&circuit).and_then(|customer| self.own.get_mut(customer));
+        own.map_or(&mut self.common, |own| &mut own.chooser)
+    }
+
+    fn all(&mut self) -> impl Iterator<Item = &mut Chooser> {
+        std::iter::once(&mut self.common).chain(self.own.values_mut().map(|own| &mut own.chooser))
+    }
+
+    /// `customer`: whose decisions it is for, where not the common ones'.
+    pub fn arrived(
+        &mut self,
+        customer: Option<&Rc<str>>,
+        arrival: &Arrival,
+        now: Point,
+        host: &mut dyn Host,
+    ) {
+        if let Some(customer) = customer {
+            self.owner.insert(arrival.circuit, customer.clone());
+        }
+        self.of(arrival.circuit).arrived(arrival, now, host);
+    }
+
+    pub fn open_already(&mut self, arrival: &Arrival, server: &str, now: Point) {
+        self.of(arrival.circuit).open_already(arrival, server, now);
+    }
+
+    pub fn stands(&mut self, circuit: CircuitId, now: Point) {
+        self.of(circuit).stands(circuit, now);
+    }
+
+    pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool, now: Point, host: &mut dyn Host) {
+        self.of(circuit).ended(circuit, ending, done, now, host);
+    }
+
+    pub fn left(&mut self, circuit: CircuitId) {
+        self.of(circuit).left(circuit);
+    }
+
+    pub fn load_is(&mut self, circuit: CircuitId, load: f64) {
+        self.of(circuit).load_is(circuit, load);
+    }
+
+    pub fn messages_take(&mut self, circuit: CircuitId, took: Span, now: Point, host: &mut dyn Host) {
+        self.of(circuit).messages_take(circuit, took, now, host);
+    }
+
+    pub fn woke(&mut self, now: Point, host: &mut dyn Host) {
+        self.all().for_each(|chooser| chooser.woke(now, host));
+    }
+
+    pub fn look_round(&mut self, probing: bool, now: Point, host: &mut dyn Host) {
+        self.probing = probing;
+        self.common.look_round(probing, now, host);
+    }
+
+    pub fn probed(&mut self, server: &str, took: Span, now: Point, host: &mut dyn Host) {
+        self.all().for_each(|chooser| chooser.probed(server, took, now, host));
+    }
+
+    pub fn ends(&mut self, calls_left: usize, host: &mut dyn Host) {
+        self.all().for_each(|chooser| chooser.ends(calls_left, host));
+    }
+
+    pub fn remembered(&self) -> Vec<Remembered> {
+        let own = self.own.values().flat_map(|own| own.chooser.remembered());
+        self.common.remembered().into_iter().chain(own).collect()
+    }
+
+    pub fn remember(&mut self, remembered: &Remembered, within: Span, now: Point) -> bool {
+        self.remembered.push((remembered.clone(), now + within));
+        self.all().fold(false, |known, chooser| chooser.remember(remembered, within, now) | known)
+    }
+
+    /// Forgets whose circuits those were that are no more.
+    pub fn sweep(&mut self, there: impl Fn(&CircuitId) -> bool) {
+        self.owner.retain(|circuit, _| there(circuit));
+    }
+}
+
+fn granted(list: &BTreeMap<ServerId, Listed>, servers: &[ServerId]) -> Vec<Listed> {
+    servers.iter().filter_map(|server| list.get(server)).cloned().collect()
+}
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -46,6 +46,8 @@
     pub leaving_line: Cell<Option<Point>>,
     /// When the first line of the client's came that nothing has come back since.
     pub asked: Cell<Option<Point>>,
+    /// Its place in its customer's room, for as long as it is here.
+    pub place: RefCell<Option<Rc<()>>>,
     pub me: Weak<Circuit>,
 }
 
@@ -65,6 +67,7 @@
             down_end: Cell::default(),
             leaving_line: Cell::default(),
             asked: Cell::default(),
+            place: RefCell::default(),
             me: me.clone(),
         })
     }
@@ -175,6 +178,7 @@
     pub fn close(&self, hands: &mut Hands) {
         self.connect.borrow_mut().take();
         self.stage.set(Stage::Closed);
+        self.place.take();
         hands.forget(self);
     }
 
--- a/crates/proxy/src/comeback.rs
+++ b/crates/proxy/src/comeback.rs
@@ -5,6 +5,8 @@
 use crate::fleet_file::{FleetFault, FleetFile};
 use crate::listing::{Entry, Health, Listing};
 use crate::proxy::Proxy;
+use crate::spaces::{Changed, Decided, Shared, Spaces};
+use serde::{de::DeserializeOwned, Serialize};
 use shelfgrade::handover::Remembered;
 use shelfgrade::host::Turn;
 use shelfgrade::time::Span;
@@ -36,6 +38,8 @@
         self.hands.follow(lines.iter().map(|line| (&line.listed, line.dial)), whole);
         let listed: Vec<_> = lines.into_iter().map(|line| line.listed).collect();
         self.chooser.listed(&listed, whole, now);
+        let changed = self.spaces.follow(self.chooser.list());
+        self.go_by(changed);
         self.hands.take_over_waiting();
         self.settle();
     }
@@ -81,8 +85,10 @@
         self.chooser.remembered()
     }
 
-    fn count(&self, what: &'static str) {
-        self.hands.tally.count(what);
+    fn shared(&mut self, key: &str) {
+        let Some(fellows) = self.fellows.clone() else { return };
+        let changed = self.spaces.heard(key, &*fellows);
+        self.go_by(changed);
     }
 
     fn complain(&self, what: &'static str) {
@@ -122,9 +128,49 @@
         seed: u64,
     ) -> Result<(), FleetFault> {
         let fellows = Fellows::begin(file, terms, known.lines(), seed, self)?;
-        self.fellows = Some(fellows);
+        self.spaces = Spaces::new(fellows.seat());
+        self.fellows = Some(fellows.clone());
+        // What an earlier life knew comes with no word of its own.
+        for key in fellows.keys("") {
+            Company::shared(self, &key);
+        }
+        self.read_namespaces();
         Ok(())
     }
+
+    /// Reads customers' namespaces again, where the fleet file says that they are.
+    pub fn read_namespaces(&mut self) {
+        let Some(fellows) = self.fellows.clone() else { return };
+        if let Some(folder) = fellows.namespaces_dir() {
+            self.spaces.read(&folder, &*fellows);
+            fellows.tell_news(self);
+        }
+    }
+
+    fn go_by(&mut self, changed: Vec<Changed>) {
+        let now = self.hands.clock.now();
+        for (customer, servers, share) in changed {
+            self.chooser.has_space(&customer, &servers, share, now, &mut self.hands);
+        }
+        self.chooser.common_has(self.spaces.common_share());
+    }
+
+    /// What the namespace of its customer decides of a circuit, where there is one.
+    pub fn rule_for(&mut self, circuit: &Circuit) -> Option<Decided> {
+        let opening = &circuit.opening;
+        let offering = self.offerings.get(opening.offering).map_or("", String::as_str);
+        self.spaces.decide(opening.customer.as_deref(), offering, opening.group.as_deref())
+    }
+}
+
+impl Shared for Fellows<Proxy> {
+    fn get<T: DeserializeOwned>(&self, key: &str) -> Option<T> {
+        Fellows::get(self, key)
+    }
+
+    fn put<T: Serialize>(&self, key: &str, value: &T, version: u64) -> Result<(), String> {
+        Fellows::put(self, key, value, version).map_err(|fault| fault.to_string())
+    }
 }
 
 fn fact(entry: &Entry) -> Fact {
--- a/crates/proxy/src/early.rs
+++ b/crates/proxy/src/early.rs
@@ -3,7 +3,7 @@
 
 use crate::circuit::{Circuit, Stage};
 use crate::proxy::Proxy;
-use shelfgrade::host::Arrival;
+use shelfgrade::host::{Arrival, Turn};
 use shelfgrade::time::{Point, Span};
 use std::rc::{Rc, Weak};
 
@@ -11,6 +11,9 @@
 // waits for a server no longer than this for the hope of it.
 const WAITS: Span = Span::millis(1000);
 
+// When one comes again whose namespace has no room or no rule for it: connections last minutes, and some end in a second.
+const NO_ROOM: Span = Span::millis(1000);
+
 /// Who waits for the first word of the list.
 #[derive(Default)]
 pub struct Early {
@@ -69,9 +72,19 @@
     pub fn place(&mut self, circuit: &Rc<Circuit>) {
         if circuit.stage.get() == Stage::Asking {
             let now = self.now();
-            let turn = self.turn(circuit);
+            let mut turn = self.turn(circuit);
+            let ruled = self.rule_for(circuit);
+            if let Some(ruled) = ruled.as_ref().filter(|ruled| ruled.full) {
+                log::debug!("circuit {}: no room for {}", circuit.id.0, ruled.customer);
+                self.hands.tally.count("circuits without room in their namespace");
+                turn = Some(turn.unwrap_or(Turn { before: 2.0, again: NO_ROOM }))
+                    .map(|t| Turn { before: 2.0, ..t });
+            }
+            let among = ruled.as_ref().map(|ruled| &ruled.among);
+            let whose = ruled.as_ref().map(|ruled| &ruled.customer);
             let arrival = crate::proxy::arrival(circuit, circuit.since.get() + circuit.opening.patience);
-            self.chooser.arrived(&Arrival { turn, ..arrival }, now, &mut self.hands);
+            *circuit.place.borrow_mut() = ruled.as_ref().map(|ruled| ruled.place.clone());
+            self.chooser.arrived(whose, &Arrival { turn, among, ..arrival }, now, &mut self.hands);
             // Not turned away: it was let in, or is about to be.
             let let_in = turn.is_some() && circuit.stage.get() == Stage::Asking;
             self.fellows.iter().filter(|_| let_in).for_each(|fellows| fellows.let_in());
--- a/crates/proxy/src/fellows.rs
+++ b/crates/proxy/src/fellows.rs
@@ -9,17 +9,19 @@
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use serde::{de::DeserializeOwned, Serialize};
 use shelfgrade::handover::Remembered;
 use shelfgrade::host::{Listed, Turn};
 use shelfgrade::time::Point;
-use shelfgrade_fleet::{Entry, Seat, Surroundings};
+use shelfgrade_fleet::{Entry, PutFault, Seat, Surroundings, Version};
 use shelfgrade_recovery::around::{Around, Line, Terms};
 use shelfgrade_recovery::comeback::Comeback;
 use shelfgrade_recovery::order::State;
 use shelfgrade_recovery::snapshot;
-use shelfgrade_recovery::trust::Fact;
+use shelfgrade_recovery::trust::{Fact, BEATS, LIST, SERVERS};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Who is among fellows.
@@ -34,7 +36,8 @@
     fn may_do(&mut self, part: f64);
     /// What the decisions remember, for the disk.
     fn remembered(&self) -> Vec<Remembered>;
-    fn count(&self, what: &'static str);
+    /// Something that others put into what all share is new, or has changed.
+    fn shared(&mut self, key: &str);
     fn complain(&self, what: &'static str);
 }
 
@@ -76,6 +79,10 @@
     }
     fn entry(&mut self, entry: &Entry) {
         log::trace!("{} is known at version {:?}", entry.key, entry.version);
+        if ![SERVERS, BEATS, LIST].iter().any(|own| entry.key.starts_with(own)) {
+            let key = entry.key.clone();
+            self.tell(move |company| company.shared(&key));
+        }
     }
     fn came(&mut self, seat: Seat) {
         log::info!("fellow {} is there", self.name(seat));
@@ -250,6 +257,33 @@
         self.core.borrow_mut().turn(of, key, now)
     }
 
+    /// The value under a key of what all share.
+    pub fn get<T: DeserializeOwned>(&self, key: &str) -> Option<T> {
+        self.core.borrow().fleet().get(key)
+    }
+
+    /// Puts a value into what all share, under a version that whoever writes it counts; an older one changes nothing.
+    pub fn put<T: Serialize>(&self, key: &str, value: &T, count: u64) -> Result<(), PutFault> {
+        let version = Version { count, by: 0 };
+        self.core.borrow_mut().fleet_mut().put_at(key, value, version, &mut Out { fellows: self })
+    }
+
+    /// All keys of what all share that begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let core = self.core.borrow();
+        core.fleet().entries().into_iter().map(|e| e.key).filter(|key| key.starts_with(prefix)).collect()
+    }
+
+    /// This process's place among so many.
+    pub fn seat(&self) -> (usize, usize) {
+        let file = self.file.borrow();
+        (usize::from(file.roster.me().0), file.roster.size())
+    }
+
+    pub fn namespaces_dir(&self) -> Option<PathBuf> {
+        self.file.borrow().namespaces_dir.clone()
+    }
+
     pub fn let_in(&self) {
         self.core.borrow_mut().let_in();
     }
@@ -270,6 +304,11 @@
         Ok(())
     }
 
+    /// Tells what was put into what all share from outside a call of the core's.
+    pub fn tell_news(self: &Rc<Self>, company: &mut C) {
+        self.settle(company);
+    }
+
     /// This process ends: its fellows hear of it, and the disk has all.
     pub fn leave(&self, company: &C) {
         let now = company.now();
--- a/crates/proxy/src/fleet_file.rs
+++ b/crates/proxy/src/fleet_file.rs
@@ -35,6 +35,7 @@
     fleet: String,
     fellows: BTreeMap<String, SocketAddr>,
     state_dir: Option<PathBuf>,
+    namespaces_dir: Option<PathBuf>,
     #[serde(default = "list_wait_ms")]
     list_wait_ms: u64,
     #[serde(default = "save_every_ms")]
@@ -57,6 +58,7 @@
     /// By the order of the roster.
     pub addresses: Vec<SocketAddr>,
     pub state_dir: Option<PathBuf>,
+    pub namespaces_dir: Option<PathBuf>,
     pub list_wait: Span,
     pub save_every: Span,
 }
@@ -99,7 +101,8 @@
         }
         // Both go by the order of the names.
         let addresses = file.fellows.values().copied().collect();
-        Ok(FleetFile { path, roster, addresses, state_dir: file.state_dir, list_wait, save_every })
+        let File { state_dir, namespaces_dir, .. } = file;
+        Ok(FleetFile { path, roster, addresses, state_dir, namespaces_dir, list_wait, save_every })
     }
 
     /// What cannot change while processes run: parts of the fleet's rights are by the roster.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod start;
 
 mod caller;
+mod choosers;
 mod circuit;
 mod client;
 mod clock;
@@ -29,4 +30,5 @@
 mod ring;
 mod server;
 mod socket;
+mod spaces;
 mod tally;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The proxy: owns the decisions, hears from the sockets, and carries out what is decided.
 
+use crate::choosers::Choosers;
 use crate::circuit::{Circuit, Stage};
 use crate::comeback;
 use crate::discovery::{CallFault, Discovery, Follower};
@@ -14,11 +15,11 @@
 use crate::probe::Probe;
 use crate::server::Server;
 use crate::socket::Socket;
+use crate::spaces::Spaces;
 use crate::start::{Limits, Start};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, LoopHandle, LoopSignal};
-use shelfgrade::choice::Chooser;
 use shelfgrade::host::{Arrival, CircuitId, Ending, ServerId};
 use shelfgrade::time::{Point, Span};
 use std::net::SocketAddr;
@@ -29,7 +30,8 @@
 pub const BEAT: Duration = Duration::from_millis(100);
 
 pub struct Proxy {
-    pub chooser: Chooser,
+    pub chooser: Choosers,
+    pub spaces: Spaces,
     pub hands: Hands,
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
@@ -88,13 +90,20 @@
     let pushed = start.terms.list_is_pushed;
     let whole = start.known.entries.is_empty() || pushed || fleet.is_some();
     let seq = Some(start.known.seq).filter(|_| !whole);
+    let settings = start.settings;
     let return_terms = fleet.as_ref().map(|fleet| comeback::terms(&start.terms, fleet));
     let signs = (start.terms.may_probe, start.terms.tells_delay);
     let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, signs);
     let now = hands.clock.now();
     let tally = hands.tally.clone();
     let mut proxy = Proxy {
-        chooser: start.terms.chooser,
+        // What the settings made once they make again.
+        chooser: Choosers::new(
+            start.terms.chooser,
+            Box::new(move |seed| shelfgrade_terms::parse(seed, &settings).ok().map(|terms| terms.chooser)),
+            start.seed,
+        ),
+        spaces: Spaces::new((0, 1)),
         hands,
         offerings: start.terms.offerings,
         door,
@@ -252,6 +261,8 @@
         self.sweep_callers();
         self.end_of_waiting();
         self.tell_pulses();
+        let there = &self.hands.circuits;
+        self.chooser.sweep(|circuit| there.contains_key(circuit));
         self.end_when_done(&circuits);
     }
 
@@ -290,6 +301,7 @@
         if let Some(fault) = self.fellows.clone().and_then(|fellows| fellows.read_again(&self.name).err()) {
             log::error!("fleet file not read again, nothing changes: {fault}");
         }
+        self.read_namespaces();
         let moves = self.discovery.clone().move_to(start.discovery, self);
         log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
         if moves {
@@ -353,5 +365,6 @@
         mid_flow: opening.mid_flow,
         returned: opening.returned,
         turn: None,
+        among: None,
     }
 }
--- /dev/null
+++ b/crates/proxy/src/spaces.rs
@@ -0,0 +1,184 @@
+//! Customers' namespaces in one process: read from a folder, spread over the fleet, and looked up for each circuit.
+//!
+//! The folder is the fleet file's `namespaces_dir`: `grants.toml` and a file for each customer. Whoever has a newer
+//! version of one spreads it; each is in force by itself, whole, or refused with its place.
+
+use serde::{de::DeserializeOwned, Serialize};
+use shelfgrade::host::{Listed, ServerId};
+use shelfgrade_namespaces::rules::{Grants, Space};
+use shelfgrade_namespaces::spread::{cut, join, key, Head};
+use shelfgrade_namespaces::table::{part_of_room, Found, Table};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+
+/// The keys of what all share here.
+const GRANTS: &str = "grants";
+pub const SPACES: &str = "space/";
+
+/// What all share, as far as namespaces need it.
+pub trait Shared {
+    fn get<T: DeserializeOwned>(&self, key: &str) -> Option<T>;
+    /// Puts a value under a version; one that is not newer changes nothing.
+    fn put<T: Serialize>(&self, key: &str, value: &T, version: u64) -> Result<(), String>;
+}
+
+/// What a circuit's rule says.
+pub struct Decided {
+    pub customer: Rc<str>,
+    pub among: Rc<[ServerId]>,
+    /// Held for as long as the circuit is: how many there are is how full the room is.
+    pub place: Rc<()>,
+    /// The room is full.
+    pub full: bool,
+}
+
+/// A customer whose namespace came or changed, what it is granted, and its part of the whole.
+pub type Changed = (Rc<str>, Rc<[ServerId]>, f64);
+
+pub struct Spaces {
+    table: Table,
+    /// By customer and rule: what stands there holds one each.
+    rooms: BTreeMap<(String, String), Rc<()>>,
+    /// This process's place among so many.
+    seat: (usize, usize),
+    versions: BTreeMap<String, u64>,
+}
+
+impl Spaces {
+    pub fn new(seat: (usize, usize)) -> Self {
+        Spaces { table: Table::default(), rooms: BTreeMap::new(), seat, versions: BTreeMap::new() }
+    }
+
+    /// Reads the folder and spreads what is in it; each file by itself, so that a bad one holds up no other.
+    pub fn read(&mut self, folder: &Path, shared: &impl Shared) {
+        let files = match std::fs::read_dir(folder) {
+            Ok(files) => files,
+            Err(fault) => {
+                return log::error!("{}: {fault}: no namespaces are read from there", folder.display())
+            }
+        };
+        let mut paths: Vec<_> = files.filter_map(|file| Some(file.ok()?.path())).collect();
+        paths.retain(|path| path.extension().is_some_and(|end| end == "toml"));
+        // What is granted comes first: the others are checked against it.
+        paths.sort_by_key(|path| (path.file_stem().is_none_or(|name| name != GRANTS), path.clone()));
+        for path in paths {
+            if let Err(fault) = self.read_file(&path, shared) {
+                log::error!("{}: {fault}; what was there before stays", path.display());
+            }
+        }
+    }
+
+    /// Guards against a bad file reaching the others, or those that start later and have nothing from before.
+    fn read_file(&mut self, path: &Path, shared: &impl Shared) -> Result<(), String> {
+        let text = std::fs::read_to_string(path).map_err(|fault| fault.to_string())?;
+        if path.file_stem().is_some_and(|name| name == GRANTS) {
+            let grants = Grants::parse(&text).map_err(|fault| fault.to_string())?;
+            put(GRANTS, grants.version, &grants, shared)?;
+            self.grant(grants);
+            return Ok(());
+        }
+        let space = Space::parse(&text).map_err(|fault| fault.to_string())?;
+        self.table.check(&space).map_err(|fault| fault.to_string())?;
+        put(&format!("{SPACES}{}", space.customer), space.version, &space, shared)
+    }
+
+    /// Something under a key has changed in what all share: what is whole now comes into force. Gives whose namespaces
+    /// are to be gone by.
+    pub fn heard(&mut self, changed: &str, shared: &impl Shared) -> Vec<Changed> {
+        if changed.starts_with(GRANTS) {
+            if let Some(grants) = whole::<Grants>(GRANTS, shared) {
+                self.grant(grants);
+                // Those that were refused for want of a grant may have one now.
+                let all: Vec<_> = self.versions.keys().cloned().collect();
+                all.iter().for_each(|customer| self.space(customer, shared));
+                return all.iter().filter_map(|customer| self.changed(customer)).collect();
+            }
+        } else if let Some(customer) = changed.strip_prefix(SPACES).and_then(|rest| rest.split('/').next()) {
+            self.versions.entry(customer.to_owned()).or_default();
+            self.space(customer, shared);
+            return self.changed(customer).into_iter().collect();
+        }
+        Vec::new()
+    }
+
+    fn grant(&mut self, grants: Grants) {
+        let version = grants.version;
+        match self.table.grant(grants) {
+            Ok(out) => {
+                log::info!("grants: version {version} is in force");
+                for (customer, fault) in out {
+                    log::error!("namespace of {customer}: out of force: {fault}");
+                }
+            }
+            Err(fault) => log::error!("grants: {fault}; what was there before stays"),
+        }
+    }
+
+    fn space(&mut self, customer: &str, shared: &impl Shared) {
+        let Some(space) = whole::<Space>(&format!("{SPACES}{customer}"), shared) else { return };
+        // Guards against one customer's rules under another's name.
+        if space.customer != customer || self.table.get(customer).is_some_and(|held| held.space == space) {
+            return;
+        }
+        match self.table.put(space) {
+            Ok(held) => {
+                log::info!("namespace of {customer}: version {} is in force", held.version());
+                self.versions.insert(customer.to_owned(), held.version());
+                for (rule, early) in held.space.shadowed() {
+                    log::warn!("namespace of {customer}: rule {rule} can never act, as {early} covers it");
+                }
+            }
+            Err(fault) => log::error!("namespace of {customer}: {fault}; what was there before stays"),
+        }
+    }
+
+    fn changed(&self, customer: &str) -> Option<Changed> {
+        let held = self.table.get(customer)?;
+        Some((customer.into(), held.granted().clone(), self.table.share(customer)))
+    }
+
+    /// The list of servers has changed; whose namespaces leave others now.
+    pub fn follow(&mut self, list: Vec<Listed>) -> Vec<Changed> {
+        self.table.follow(list);
+        self.versions.keys().filter_map(|customer| self.changed(customer)).collect()
+    }
+
+    /// The part of the whole for those without a namespace.
+    pub fn common_share(&self) -> f64 {
+        self.table.common_share()
+    }
+
+    /// What decides a circuit; none where its customer has no namespace.
+    pub fn decide(&mut self, customer: Option<&str>, offering: &str, group: Option<&str>) -> Option<Decided> {
+        let customer = customer?;
+        let (seat, seats) = self.seat;
+        match self.table.look_up(Some(customer), offering, group) {
+            Found::NoSpace => None,
+            // Nothing of the fleet is left for it.
+            Found::NoRule => {
+                let among: Rc<[ServerId]> = Rc::from([]);
+                Some(Decided { customer: customer.into(), among, place: Rc::new(()), full: true })
+            }
+            Found::Rule(ruled) => {
+                let room = part_of_room(ruled.room(), seat, seats) as usize;
+                let place = self.rooms.entry((customer.to_owned(), ruled.rule().name.clone())).or_default();
+                let full = Rc::strong_count(place) > room;
+                Some(Decided { customer: customer.into(), among: ruled.among(), place: place.clone(), full })
+            }
+        }
+    }
+}
+
+fn put<T: Serialize>(whole: &str, version: u64, value: &T, shared: &impl Shared) -> Result<(), String> {
+    let (head, pieces) = cut(version, value).map_err(|fault| fault.to_string())?;
+    for (index, piece) in pieces.iter().enumerate() {
+        shared.put(&key(whole, index), piece, version)?;
+    }
+    shared.put(whole, &head, version)
+}
+
+fn whole<T: DeserializeOwned>(whole: &str, shared: &impl Shared) -> Option<T> {
+    let head: Head = shared.get(whole)?;
+    join(&head, |piece| shared.get(&key(whole, piece)))
+}
--- a/crates/proxy/src/start.rs
+++ b/crates/proxy/src/start.rs
@@ -42,6 +42,8 @@
     /// For all that is left to chance.
     pub seed: u64,
     pub terms: Terms,
+    /// The text that the terms were read from.
+    pub settings: String,
     pub limits: Limits,
     /// The list as this proxy last had it; may be old.
     pub known: Listing,
@@ -94,6 +96,7 @@
             discovery: address(file.discovery, "RELAY_DISCOVERY")?,
             seed,
             terms: shelfgrade_terms::parse(seed, file.settings.get())?,
+            settings: file.settings.get().to_owned(),
             limits: file.limits,
             known: known.unwrap_or_default(),
         })
--- a/crates/trials/src/clients.rs
+++ b/crates/trials/src/clients.rs
@@ -79,8 +79,14 @@
 }
 
 impl Clients {
-    /// So many, who come within some time and stay.
-    pub fn come(number: usize, within: Duration, front: &Arc<Front>, record: &Record, seed: u64) -> Self {
+    /// So many, who come within some time and stay; of one customer's, where that is said.
+    pub fn come(
+        number: usize,
+        within: Duration,
+        (front, record): (&Arc<Front>, &Record),
+        seed: u64,
+        of: Option<usize>,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let mut chance = WyRand::new_seed(seed);
         for i in 0..number {
@@ -100,7 +106,7 @@
             let client = Client {
                 key: format!("lift-{seed:x}-{i}"),
                 class: class.unwrap_or(2),
-                customer: whose.unwrap_or(0),
+                customer: of.or(whose).unwrap_or(0),
                 group: chance.generate_range(0..number.div_ceil(8)),
                 front: front.clone(),
                 record: record.clone(),
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -101,7 +101,28 @@
 
     pub fn clients_come(&mut self, within: Duration) {
         let Shape { clients, seed, .. } = self.shape;
-        self.clients = Some(Clients::come(clients, within, &self.front, &self.record, seed));
+        self.clients = Some(Clients::come(clients, within, (&self.front, &self.record), seed, None));
+    }
+
+    /// So many clients of one customer's come at once.
+    pub fn storms(&mut self, customer: usize, number: usize) -> Clients {
+        let seed = self.shape.seed + 1000;
+        Clients::come(number, Duration::from_millis(500), (&self.front, &self.record), seed, Some(customer))
+    }
+
+    /// Puts these files into a folder that one process reads customers' namespaces from; at its next start or SIGHUP.
+    pub fn namespaces(&self, process: usize, files: &[(&str, &str)]) {
+        let folder = self.given.folder.join("namespaces");
+        std::fs::create_dir_all(&folder).expect("a folder");
+        for (name, text) in files {
+            std::fs::write(folder.join(name), text).expect("a file");
+        }
+        let file = self.processes[process].fleet_file();
+        let text = std::fs::read_to_string(&file).expect("its fleet file");
+        if !text.contains("namespaces_dir") {
+            let text = format!("namespaces_dir = \"{}\"\n{text}", folder.display());
+            std::fs::write(&file, text).expect("its fleet file");
+        }
     }
 
     pub fn standing(&self) -> usize {
--- a/src/choice/placement.rs
+++ b/src/choice/placement.rs
@@ -18,7 +18,9 @@
         // The design page's figures; of those under way too, against connects that pile up at a slow server.
         const SKIP_FACTOR: f64 = 2.0;
         const SKIP_MARGIN: f64 = 3.0;
-        let servers = self.shelf.servers.borrow();
+        let all = self.shelf.servers.borrow();
+        let left = circuit.left_of(&all);
+        let servers = left.as_ref().unwrap_or(&all);
         let active = || servers.iter().filter(|s| s.standing.get() == Standing::Active);
         let add =
             |n: [f64; 3], s: &Rc<Server>| [n[0] + 1.0, n[1] + s.open(), n[2] + f64::from(s.waiting.get())];
--- a/src/host.rs
+++ b/src/host.rs
@@ -75,6 +75,8 @@
     pub returned: bool,
     /// Its turn in a crowd that comes back, where there is one and somebody reckons it.
     pub turn: Option<Turn>,
+    /// The servers that it may go to, in the order of their ids, where not all.
+    pub among: Option<&'a Rc<[ServerId]>>,
 }
 
 /// A circuit's turn, from outside: what is owed goes first.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 //!     mid_flow: false,
 //!     returned: false,
 //!     turn: None,
+//!     among: None,
 //! };
 //! chooser.arrived(&arrival, now, &mut host);
 //! assert_eq!(host.0, ["circuit 1 to 192.0.2.1:80"]);
--- a/src/record.rs
+++ b/src/record.rs
@@ -219,6 +219,7 @@
     pub(crate) mid_flow: bool,
     pub(crate) returned: bool,
     pub(crate) turn: Option<Turn>,
+    pub(crate) among: Option<Rc<[ServerId]>>,
     pub(crate) stands: Cell<bool>,
     pub(crate) answered: Cell<bool>,
     /// It waits for the first sign of life from its servers, or has done so before the next connect.
@@ -244,7 +245,14 @@
             mid_flow: arrival.mid_flow,
             returned: arrival.returned,
             turn: arrival.turn,
+            among: arrival.among.cloned(),
             ..Circuit::default()
         }
     }
+
+    /// The servers that it may go to, in the order of the list, where not all.
+    pub(crate) fn left_of(&self, all: &[Rc<Server>]) -> Option<Vec<Rc<Server>>> {
+        let among = self.among.as_ref()?;
+        Some(all.iter().filter(|server| among.binary_search(&server.id).is_ok()).cloned().collect())
+    }
 }
--- a/tests/stories/fake.rs
+++ b/tests/stories/fake.rs
@@ -85,6 +85,7 @@
         mid_flow: false,
         returned: false,
         turn: None,
+        among: None,
     }
 }
 
