Namespaces of customers: no customer's rules or storm reach another's circuits

A namespace belongs to one customer and holds its rules, within what the operator grants it in one place; a circuit is looked up in its customer's namespace and nowhere else, and the design decides over the servers that the rule leaves (Arrival::among). Each customer with a namespace has decisions of its own, of the same module, while it has circuits (choosers.rs); its part of what cold servers bear is its room's part of all rooms.

Property: 200 drawn sets of rules, all but one customer's changed, every decision for the one the same to the byte.

--- a/crates/namespaces/benches/look_up.rs
+++ b/crates/namespaces/benches/look_up.rs
@@ -28,7 +28,7 @@
 fn look_up(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("look_up");
     for spaces in [1, 100, 10_000] {
-        let table = table(spaces);
+        let mut table = table(spaces);
         let customer = format!("customer-{}", spaces / 2);
         group.bench_with_input(BenchmarkId::from_parameter(spaces), &spaces, |bench, _| {
             bench.iter(|| {
--- a/crates/namespaces/src/table.rs
+++ b/crates/namespaces/src/table.rs
@@ -13,10 +13,12 @@
     left: Vec<Rc<[ServerId]>>,
     /// What the grant leaves.
     granted: Rc<[ServerId]>,
+    /// Which list that is of.
+    of_list: u64,
 }
 
 impl InForce {
-    fn new(space: Space, grant: Grant, list: &[Listed]) -> Self {
+    fn new(space: Space, grant: Grant, (list, of_list): (&[Listed], u64)) -> Self {
         let left_by = |has: &dyn Fn(&Listed) -> bool| {
             let mut left: Vec<_> = list.iter().filter(|l| has(l)).map(|l| l.server.clone()).collect();
             left.sort();
@@ -25,7 +27,7 @@
         let left = space.rules.iter().map(|rule| left_by(&|line| grant.part.has(line) && rule.to.has(line)));
         let left = left.collect();
         let granted = left_by(&|line| grant.part.has(line));
-        InForce { left, granted, space, grant }
+        InForce { left, granted, space, grant, of_list }
     }
 
     pub fn version(&self) -> u64 {
@@ -79,6 +81,8 @@
     grants_version: u64,
     others: u32,
     list: Vec<Listed>,
+    /// Counts the lists.
+    of_list: u64,
 }
 
 impl Table {
@@ -91,7 +95,7 @@
         (self.grants_version, self.others) = (grants.version, grants.others);
         self.grants = grants.grants.into_iter().map(|grant| (grant.customer.clone(), grant)).collect();
         let mut out = Vec::new();
-        let (list, grants) = (&self.list, &self.grants);
+        let (list, grants) = ((&*self.list, self.of_list), &self.grants);
         self.spaces.retain(|customer, space| {
             let grant = grants.get(customer);
             match (space.space.check(grant), grant) {
@@ -123,7 +127,7 @@
         }
         let grant = grant.cloned().ok_or_else(|| SpaceFault::NotGranted(space.customer.clone()))?;
         let customer = space.customer.clone();
-        let space = Rc::new(InForce::new(space, grant, &self.list));
+        let space = Rc::new(InForce::new(space, grant, (&self.list, self.of_list)));
         self.spaces.insert(customer, space.clone());
         Ok(space)
     }
@@ -133,16 +137,21 @@
         self.spaces.remove(customer);
     }
 
-    /// The list of servers has changed.
+    /// The list of servers has changed. Guards against ten thousand namespaces holding up a circuit for it: each is cut
+    /// anew when it is next looked up.
     pub fn follow(&mut self, list: Vec<Listed>) {
         self.list = list;
-        for space in self.spaces.values_mut() {
-            *space = Rc::new(InForce::new(space.space.clone(), space.grant.clone(), &self.list));
-        }
+        self.of_list += 1;
     }
 
-    pub fn get(&self, customer: &str) -> Option<&Rc<InForce>> {
-        self.spaces.get(customer)
+    /// A customer's namespace, by the list as it is now.
+    pub fn get(&mut self, customer: &str) -> Option<&Rc<InForce>> {
+        let space = self.spaces.get_mut(customer)?;
+        if space.of_list != self.of_list {
+            let list = (&*self.list, self.of_list);
+            *space = Rc::new(InForce::new(space.space.clone(), space.grant.clone(), list));
+        }
+        Some(space)
     }
 
     /// The part of the whole that a customer's circuits may use of what cold servers bear: its room of all that is
@@ -166,10 +175,8 @@
     }
 
     /// Which rule decides a circuit: looked up in its customer's namespace and nowhere else, the first that matches.
-    pub fn look_up(&self, customer: Option<&str>, offering: &str, group: Option<&str>) -> Found {
-        let Some(space) = customer.and_then(|customer| self.spaces.get(customer)) else {
-            return Found::NoSpace;
-        };
+    pub fn look_up(&mut self, customer: Option<&str>, offering: &str, group: Option<&str>) -> Found {
+        let Some(space) = customer.and_then(|customer| self.get(customer)) else { return Found::NoSpace };
         match space.space.rules.iter().position(|rule| rule.matches(offering, group)) {
             Some(rule) => Found::Rule(Ruled { space: space.clone(), rule }),
             None => Found::NoRule,
--- a/crates/namespaces/tests/isolation.rs
+++ b/crates/namespaces/tests/isolation.rs
@@ -67,7 +67,7 @@
 }
 
 /// Every decision for one customer, as text.
-fn decisions(table: &Table, customer: &str) -> String {
+fn decisions(table: &mut Table, customer: &str) -> String {
     let mut all = String::new();
     for offering in ["alarm", "status", "other"] {
         for group in [None, Some("a"), Some("a1"), Some("b2"), Some("c")] {
@@ -105,12 +105,12 @@
     ) {
         let with = |others: &[(usize, Vec<Rule>)]| {
             let all: Vec<_> = std::iter::once((0, mine.clone())).chain(others.iter().cloned()).collect();
-            decisions(&table(&all), CUSTOMERS[0])
+            decisions(&mut table(&all), CUSTOMERS[0])
         };
         let mut changed = table(&[vec![(0, mine.clone())], before.clone(), after.clone()].concat());
         (1..4).for_each(|other| changed.remove(CUSTOMERS[other]));
         prop_assert_eq!(with(&before), with(&after));
-        prop_assert_eq!(with(&before), decisions(&changed, CUSTOMERS[0]));
+        prop_assert_eq!(with(&before), decisions(&mut changed, CUSTOMERS[0]));
     }
 
     /// No rule leaves a server that its customer is not granted, whatever it names.
@@ -182,3 +182,25 @@
     assert!(matches!(table.look_up(Some("nobody"), "alarm", None), Found::NoSpace));
     assert!(matches!(table.look_up(None, "alarm", None), Found::NoSpace));
 }
+
+/// A namespace went on by the list that it was put into force with.
+#[test]
+fn a_look_up_goes_by_the_list_as_it_is_now_and_what_was_decided_stays() {
+    let rule = Rule {
+        name: "all".into(),
+        offerings: Vec::new(),
+        groups: Vec::new(),
+        to: Part::default(),
+        room: None,
+    };
+    let mut table = table(&[(0, vec![rule])]);
+    let found = |table: &mut Table| match table.look_up(Some("posta"), "alarm", None) {
+        Found::Rule(ruled) => ruled.among(),
+        _ => panic!("a rule"),
+    };
+    let before = found(&mut table);
+    table.follow(list()[1..].to_vec());
+    assert_eq!((before.len(), found(&mut table).len()), (5, 4));
+    table.follow(Vec::new());
+    assert!(found(&mut table).is_empty(), "a rule that leaves no server");
+}
--- a/crates/proxy/src/choosers.rs
+++ b/crates/proxy/src/choosers.rs
@@ -5,7 +5,7 @@
 use shelfgrade::handover::Remembered;
 use shelfgrade::host::{Arrival, CircuitId, Ending, Host, Listed, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Makes decisions for one more customer, from a seed.
@@ -16,6 +16,8 @@
     /// What its customer is granted, in the order of the ids, and the part of the whole.
     granted: Rc<[ServerId]>,
     share: f64,
+    /// Since when it has had no circuit.
+    idle_since: Option<Point>,
 }
 
 pub struct Choosers {
@@ -83,31 +85,42 @@
         self.common.list_failed(now, host);
     }
 
-    /// A customer's namespace is in force: from its next circuit on it has decisions of its own, over what it is granted.
-    pub fn has_space(
-        &mut self,
-        customer: &Rc<str>,
-        servers: &Rc<[ServerId]>,
-        share: f64,
-        now: Point,
-        host: &mut dyn Host,
-    ) {
+    /// Customers that have decisions of their own now.
+    pub fn customers(&self) -> Vec<Rc<str>> {
+        self.own.keys().cloned().collect()
+    }
+
+    /// What a customer with decisions of its own is granted has changed.
+    pub fn has_space(&mut self, customer: &Rc<str>, servers: &Rc<[ServerId]>, share: f64, now: Point) {
         if let Some(own) = self.own.get_mut(customer) {
             (own.granted, own.share) = (servers.clone(), share);
             own.chooser.listed(&granted(&self.list, servers), true, now);
-            return;
+            self.may_do(self.part);
         }
+    }
+
+    pub fn knows(&self, customer: &str) -> bool {
+        self.own.contains_key(customer)
+    }
+
+    /// A customer with a namespace has its first circuit in a while: from here on it has decisions of its own, over what
+    /// it is granted. Guards against ten thousand namespaces taking memory for customers who never come.
+    pub fn begin(
+        &mut self,
+        (customer, servers, share): (Rc<str>, Rc<[ServerId]>, f64),
+        now: Point,
+        host: &mut dyn Host,
+    ) {
         let seed = self.seed ^ xxhash_rust::xxh3::xxh3_64(customer.as_bytes());
         // The settings made the common ones, so they make these.
         let Some(mut chooser) = (self.make)(seed) else { return };
-        chooser.listed(&granted(&self.list, servers), true, now);
+        chooser.listed(&granted(&self.list, &servers), true, now);
         chooser.look_round(self.probing, now, host);
         self.remembered.retain(|(_, until)| now < *until);
         for (remembered, until) in &self.remembered {
             chooser.remember(remembered, until.since(now), now);
         }
-        let own = Own { chooser, granted: servers.clone(), share };
-        self.own.insert(customer.clone(), own);
+        self.own.insert(customer, Own { chooser, granted: servers, share, idle_since: None });
         self.may_do(self.part);
     }
 
@@ -203,9 +216,19 @@
         self.all().fold(false, |known, chooser| chooser.remember(remembered, within, now) | known)
     }
 
-    /// Forgets whose circuits those were that are no more.
-    pub fn sweep(&mut self, there: impl Fn(&CircuitId) -> bool) {
+    /// Called once a second: forgets whose circuits those were that are no more, and the decisions of who has had none
+    /// for as long as their table would know a connection.
+    pub fn sweep(&mut self, there: impl Fn(&CircuitId) -> bool, now: Point) {
+        const IDLE: Span = Span::millis(60_000);
+        if self.own.is_empty() {
+            return;
+        }
         self.owner.retain(|circuit, _| there(circuit));
+        let busy: BTreeSet<Rc<str>> = self.owner.values().cloned().collect();
+        self.own.retain(|customer, own| {
+            own.idle_since = own.idle_since.or(Some(now)).filter(|_| !busy.contains(customer));
+            own.idle_since.is_none_or(|since| now.since(since) < IDLE)
+        });
     }
 }
 
--- a/crates/proxy/src/comeback.rs
+++ b/crates/proxy/src/comeback.rs
@@ -38,7 +38,9 @@
         self.hands.follow(lines.iter().map(|line| (&line.listed, line.dial)), whole);
         let listed: Vec<_> = lines.into_iter().map(|line| line.listed).collect();
         self.chooser.listed(&listed, whole, now);
-        let changed = self.spaces.follow(self.chooser.list());
+        self.spaces.follow(self.chooser.list());
+        let live = self.chooser.customers();
+        let changed = live.iter().filter_map(|customer| self.spaces.changed(customer)).collect();
         self.go_by(changed);
         self.hands.take_over_waiting();
         self.settle();
@@ -150,7 +152,7 @@
     fn go_by(&mut self, changed: Vec<Changed>) {
         let now = self.hands.clock.now();
         for (customer, servers, share) in changed {
-            self.chooser.has_space(&customer, &servers, share, now, &mut self.hands);
+            self.chooser.has_space(&customer, &servers, share, now);
         }
         self.chooser.common_has(self.spaces.common_share());
     }
--- a/crates/proxy/src/early.rs
+++ b/crates/proxy/src/early.rs
@@ -80,6 +80,10 @@
                 turn = Some(turn.unwrap_or(Turn { before: 2.0, again: NO_ROOM }))
                     .map(|t| Turn { before: 2.0, ..t });
             }
+            if let Some(ruled) = ruled.as_ref().filter(|ruled| !self.chooser.knows(&ruled.customer)) {
+                let space = self.spaces.changed(&ruled.customer);
+                space.into_iter().for_each(|space| self.chooser.begin(space, now, &mut self.hands));
+            }
             let among = ruled.as_ref().map(|ruled| &ruled.among);
             let whose = ruled.as_ref().map(|ruled| &ruled.customer);
             let arrival = crate::proxy::arrival(circuit, circuit.since.get() + circuit.opening.patience);
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -261,8 +261,6 @@
         self.sweep_callers();
         self.end_of_waiting();
         self.tell_pulses();
-        let there = &self.hands.circuits;
-        self.chooser.sweep(|circuit| there.contains_key(circuit));
         self.end_when_done(&circuits);
     }
 
@@ -274,6 +272,8 @@
             return;
         }
         self.pulses_taken = now;
+        let there = &self.hands.circuits;
+        self.chooser.sweep(|circuit| there.contains_key(circuit), now);
         let servers: Vec<_> = self.hands.servers.values().cloned().collect();
         let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
         for circuit in circuits {
--- a/crates/proxy/src/spaces.rs
+++ b/crates/proxy/src/spaces.rs
@@ -133,15 +133,16 @@
         }
     }
 
-    fn changed(&self, customer: &str) -> Option<Changed> {
+    /// What a customer is granted now, where its namespace is in force.
+    pub fn changed(&mut self, customer: &str) -> Option<Changed> {
+        let share = self.table.share(customer);
         let held = self.table.get(customer)?;
-        Some((customer.into(), held.granted().clone(), self.table.share(customer)))
+        Some((customer.into(), held.granted().clone(), share))
     }
 
-    /// The list of servers has changed; whose namespaces leave others now.
-    pub fn follow(&mut self, list: Vec<Listed>) -> Vec<Changed> {
+    /// The list of servers has changed.
+    pub fn follow(&mut self, list: Vec<Listed>) {
         self.table.follow(list);
-        self.versions.keys().filter_map(|customer| self.changed(customer)).collect()
     }
 
     /// The part of the whole for those without a namespace.
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -146,13 +146,16 @@
     }
 
     pub fn start(&mut self, index: usize) {
+        self.is_back(index);
+        self.processes[index].starts(&self.given);
+    }
+
+    /// From now on a process is blamed again; clients that are dealt to it in its first moments may find nobody yet.
+    fn is_back(&self, index: usize) {
         let now = self.record.now();
         let mut seen = self.record.seen();
         let away = seen.away.iter_mut().rev().find(|away| away.0 == index && away.2 == Duration::MAX);
-        // Clients that are dealt to it in its first moments may find nobody yet.
         away.into_iter().for_each(|away| away.2 = now + Duration::from_millis(300));
-        drop(seen);
-        self.processes[index].starts(&self.given);
     }
 
     pub fn kill(&mut self, index: usize) {
@@ -170,11 +173,7 @@
 
     /// Has a stopped process go on; what it did meanwhile is nothing it can be blamed for.
     pub fn wake(&mut self, index: usize) {
-        let now = self.record.now();
-        let mut seen = self.record.seen();
-        let away = seen.away.iter_mut().rev().find(|away| away.0 == index && away.2 == Duration::MAX);
-        away.into_iter().for_each(|away| away.2 = now + Duration::from_millis(300));
-        drop(seen);
+        self.is_back(index);
         self.processes[index].signal(Signal::CONT);
     }
 
--- a/crates/trials/tests/customers.rs
+++ b/crates/trials/tests/customers.rs
@@ -39,6 +39,9 @@
 name = "all"
 "#;
 
+/// One trial at a time: each wants the machine's cores for its processes.
+static CORES: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// The servers that a customer's circuits of some offerings were sent to since a moment.
 fn servers(trial: &Trial, customer: usize, class: Option<usize>, since: Duration) -> BTreeSet<usize> {
     let seen = trial.record.seen();
@@ -63,6 +66,7 @@
 /// One process has the files and all go by them; one customer's storm, and its bad rules, are nobody else's.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn one_customers_rules_and_storm_leave_all_others_as_they_were() {
+    let _cores = CORES.lock().await;
     let mut trial = Trial::begin(Shape { seed: 6, clients: 160, ..SMALL }).await;
     trial.namespaces(2, &[("grants.toml", GRANTS), ("msasani.toml", MSASANI), ("upanga.toml", UPANGA)]);
     (0..SMALL.processes).for_each(|index| trial.start(index));
@@ -123,3 +127,37 @@
     more.leave();
     trial.ends().await;
 }
+
+/// Two customers share all servers, and others go there too: a cold server is one cold server, with one share.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn after_a_loss_of_power_customers_that_share_servers_do_not_push_them_over() {
+    let _cores = CORES.lock().await;
+    let mut trial = Trial::begin(Shape { seed: 8, clients: 220, ..SMALL }).await;
+    let shared = r#"
+version = 1
+others = 70
+[[grant]]
+customer = "msasani"
+room = 160
+[[grant]]
+customer = "upanga"
+room = 70
+"#;
+    let all = MSASANI.split("[[rule]]").next().unwrap().to_owned() + "[[rule]]\nname = \"all\"\n";
+    trial.namespaces(0, &[("grants.toml", shared), ("msasani.toml", &all), ("upanga.toml", UPANGA)]);
+    (0..SMALL.processes).for_each(|index| trial.start(index));
+    trial.until_ready(SMALL.processes).await;
+    trial.clients_come(Duration::from_millis(1500));
+    let most = trial.shape.clients * 95 / 100;
+    trial.until(Duration::from_secs(25), "clients stand", |trial| trial.standing() >= most).await;
+    sleep(Duration::from_millis(1500)).await;
+    trial.power_goes();
+    sleep(Duration::from_millis(800)).await;
+    trial.servers_start();
+    (0..SMALL.processes).for_each(|index| trial.start(index));
+    let in_force =
+        |trial: &mut Trial| trial.processes[3].log().matches("namespace of upanga: version 1").count() >= 2;
+    trial.until(Duration::from_secs(10), "namespaces outlive it", in_force).await;
+    trial.until(Duration::from_secs(30), "service is back", |trial| trial.standing() >= most).await;
+    trial.ends().await;
+}
