--- /dev/null
+++ b/crates/maintenance/src/schedule.rs
@@ -0,0 +1,338 @@
+//! A schedule of windows, once or repeated, in a named time zone; checked whole.
+
+use jiff::civil::DateTime;
+use jiff::tz::TimeZone;
+use jiff::ToSpan;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Longer than a site is ever without traffic on purpose, in minutes; and the longest time that emptying one may take.
+const LONGEST: u32 = 14 * 24 * 60;
+const LONGEST_LEAD: u32 = 24 * 60;
+const MOST_WINDOWS: usize = 256;
+/// Clocks of processes differ by seconds: windows count as so much longer on either side where they meet others.
+pub const MARGIN_MS: i64 = 10_000;
+const MINUTE_MS: i64 = 60_000;
+const DAY_MS: i64 = 24 * 60 * MINUTE_MS;
+/// So many days ahead windows are laid side by side: a year and its leap day, and the longest window.
+const AHEAD_DAYS: i64 = 366 + 14;
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeats {
+    #[default]
+    Once,
+    Daily,
+    Weekly,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    pub name: String,
+    /// The zone whose servers are to be without traffic.
+    pub site: String,
+    /// Local time, such as 2026-12-05T01:00.
+    pub begins: String,
+    pub lasts_min: u32,
+    /// How long before it begins its traffic starts to go.
+    pub lead_min: u32,
+    #[serde(default)]
+    pub repeats: Repeats,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// Goes up with each change.
+    pub version: u64,
+    pub time_zone: String,
+    /// How many sites may be without traffic together.
+    #[serde(default = "one")]
+    pub most_at_once: usize,
+    /// The part of all servers that has to be left with traffic.
+    #[serde(default = "half")]
+    pub least_left: f64,
+    #[serde(default, rename = "window")]
+    pub windows: Vec<Window>,
+    /// The windows of the version before this one, which those go by who have not heard of this one yet.
+    #[serde(default)]
+    pub before: Vec<Window>,
+}
+
+fn one() -> usize {
+    1
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+/// One time that a window comes: when its site starts to empty, and when it begins and ends.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time {
+    pub begins: i64,
+    pub window: String,
+    pub site: String,
+    pub empties: i64,
+    pub ends: i64,
+}
+
+impl Time {
+    /// Whether the two could be under way at once, by clocks that differ.
+    pub fn meets(&self, other: &Time) -> bool {
+        self.empties - MARGIN_MS < other.ends + MARGIN_MS && other.empties - MARGIN_MS < self.ends + MARGIN_MS
+    }
+}
+
+/// Why a schedule is refused, whole; the one before stays.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum ScheduleFault {
+    #[error("line {line}, column {column}: {what}: correct it there")]
+    Form { line: usize, column: usize, what: String },
+    #[error("time_zone: {0} is not known: name one such as Africa/Dar_es_Salaam")]
+    Zone(String),
+    #[error("window {window}, {place}: {what}: correct it there")]
+    Window { window: String, place: &'static str, what: String },
+    #[error("{0} windows where {MOST_WINDOWS} are the most: let them repeat, or take past ones out")]
+    TooMany(usize),
+    #[error("{key}: {value} where {wanted} is wanted: correct it there")]
+    Figure { key: &'static str, value: f64, wanted: &'static str },
+    #[error("windows {first} and {second} would empty {sites} sites at once at {at}, where {most} may be: move one")]
+    Overlap { first: String, second: String, at: String, sites: usize, most: usize },
+}
+
+impl Schedule {
+    pub fn parse(text: &str) -> Result<Self, ScheduleFault> {
+        toml::from_str(text).map_err(|fault| {
+            let before = &text[..fault.span().map_or(0, |span| span.start.min(text.len()))];
+            let line = before.matches('\n').count() + 1;
+            let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+            ScheduleFault::Form { line, column, what: fault.message().replace('\n', ", ") }
+        })
+    }
+
+    fn zone(&self) -> Result<TimeZone, ScheduleFault> {
+        TimeZone::get(&self.time_zone).map_err(|_| ScheduleFault::Zone(self.time_zone.clone()))
+    }
+
+    /// Checks it whole, `now` and for a year from then.
+    pub fn check(&self, now: i64) -> Result<(), ScheduleFault> {
+        self.zone()?;
+        let figure = |key, value, wanted| Err(ScheduleFault::Figure { key, value, wanted });
+        if self.most_at_once == 0 {
+            return figure("most_at_once", 0.0, "one or more");
+        }
+        if !(0.0..1.0).contains(&self.least_left) {
+            return figure("least_left", self.least_left, "a part from 0 to under 1");
+        }
+        if self.windows.len() > MOST_WINDOWS {
+            return Err(ScheduleFault::TooMany(self.windows.len()));
+        }
+        let mut names = BTreeSet::new();
+        for window in &self.windows {
+            window.check(names.insert(&window.name))?;
+        }
+        self.overlaps(now)
+    }
+
+    fn overlaps(&self, now: i64) -> Result<(), ScheduleFault> {
+        let times = self.times(&self.windows, now, now + AHEAD_DAYS * DAY_MS)?;
+        for (index, time) in times.iter().enumerate() {
+            // They stand in the order in which they begin, and none lasts longer than the longest.
+            let longest = i64::from(LONGEST + LONGEST_LEAD) * MINUTE_MS + 2 * MARGIN_MS;
+            let near = times[..index].iter().rev().take_while(|early| time.begins - early.begins < longest);
+            let meets: Vec<&Time> = near.filter(|early| early.meets(time)).collect();
+            let sites: BTreeSet<&str> =
+                meets.iter().map(|t| t.site.as_str()).chain([time.site.as_str()]).collect();
+            let other = meets.iter().find(|early| early.site != time.site);
+            if let Some(first) = other.filter(|_| sites.len() > self.most_at_once) {
+                return Err(ScheduleFault::Overlap {
+                    first: first.window.clone(),
+                    second: time.window.clone(),
+                    at: shown(time.empties),
+                    sites: sites.len(),
+                    most: self.most_at_once,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// All times of these windows that touch the span, in the order in which they begin. An hour that comes twice counts
+    /// as the first one, one that does not exist as the hour after it.
+    pub fn times(&self, windows: &[Window], from: i64, to: i64) -> Result<Vec<Time>, ScheduleFault> {
+        let zone = self.zone()?;
+        let mut times = Vec::new();
+        for window in windows {
+            let fault =
+                |what: String| ScheduleFault::Window { window: window.name.clone(), place: "begins", what };
+            let first: DateTime =
+                window.begins.parse().map_err(|_| fault(format!("{} is no date and time", window.begins)))?;
+            let step = match window.repeats {
+                Repeats::Once => 0,
+                Repeats::Daily => 1,
+                Repeats::Weekly => 7,
+            };
+            let (lead, lasts) =
+                (i64::from(window.lead_min) * MINUTE_MS, i64::from(window.lasts_min) * MINUTE_MS);
+            let at = |n: i64| -> Result<i64, ScheduleFault> {
+                let day = first.checked_add((n * step).days()).map_err(|fault_| fault(fault_.to_string()))?;
+                let zoned =
+                    zone.to_ambiguous_zoned(day).compatible().map_err(|fault_| fault(fault_.to_string()))?;
+                Ok(zoned.timestamp().as_millisecond())
+            };
+            let began = at(0)?;
+            // The first that may still touch the span: a day of time zones' changes is allowed for.
+            let skipped = (from - lasts - began).div_euclid(DAY_MS) - 1;
+            let mut n = if step == 0 { 0 } else { (skipped / step).max(0) };
+            loop {
+                let begins = at(n)?;
+                if begins - lead > to {
+                    break;
+                }
+                if begins + lasts >= from {
+                    let (window, site) = (window.name.clone(), window.site.clone());
+                    times.push(Time { begins, window, site, empties: begins - lead, ends: begins + lasts });
+                }
+                if step == 0 {
+                    break;
+                }
+                n += 1;
+            }
+        }
+        times.sort();
+        Ok(times)
+    }
+
+    /// The schedule that takes this one's place: it knows what those go by who have only this one.
+    pub fn followed_by(&self, next: Schedule) -> Schedule {
+        Schedule { before: self.windows.clone(), ..next }
+    }
+}
+
+impl Window {
+    fn check(&self, new: bool) -> Result<(), ScheduleFault> {
+        let fault = |place, what: &str| {
+            Err(ScheduleFault::Window { window: self.name.clone(), place, what: what.to_owned() })
+        };
+        if self.name.is_empty() || !new {
+            return fault("name", "a name that no other has is wanted");
+        }
+        if self.site.is_empty() {
+            return fault("site", "the name of a zone is wanted");
+        }
+        if self.begins.parse::<DateTime>().is_err() {
+            return fault("begins", "a local date and time is wanted, such as 2026-12-05T01:00");
+        }
+        if !(1..=LONGEST).contains(&self.lasts_min) {
+            return fault("lasts_min", "a minute to two weeks is wanted");
+        }
+        if !(1..=LONGEST_LEAD).contains(&self.lead_min) {
+            return fault("lead_min", "a minute to a day is wanted");
+        }
+        let period = match self.repeats {
+            Repeats::Once => u32::MAX,
+            Repeats::Daily => 23 * 60,
+            Repeats::Weekly => 167 * 60,
+        };
+        if self.lead_min + self.lasts_min >= period {
+            return fault("lasts_min", "with its lead it is longer than the time until it comes again");
+        }
+        Ok(())
+    }
+}
+
+/// A moment as an operator reads it, in universal time.
+pub fn shown(ms: i64) -> String {
+    jiff::Timestamp::from_millisecond(ms).map_or_else(|_| ms.to_string(), |at| at.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn window(name: &str, site: &str, begins: &str, repeats: Repeats) -> Window {
+        Window {
+            name: name.into(),
+            site: site.into(),
+            begins: begins.into(),
+            lasts_min: 60,
+            lead_min: 20,
+            repeats,
+        }
+    }
+
+    fn schedule(windows: Vec<Window>) -> Schedule {
+        let (time_zone, most_at_once, least_left) = ("Europe/Berlin".into(), 1, 0.5);
+        Schedule { version: 1, time_zone, most_at_once, least_left, windows, before: Vec::new() }
+    }
+
+    fn at(text: &str) -> i64 {
+        text.parse::<jiff::Timestamp>().expect("a time").as_millisecond()
+    }
+
+    #[test]
+    fn the_hour_that_comes_twice_counts_once_and_the_one_that_does_not_exist_is_the_next() {
+        let daily = schedule(vec![window("nightly", "a", "2026-03-27T02:30", Repeats::Daily)]);
+        let begins = |from: &str, to: &str| -> Vec<String> {
+            let times = daily.times(&daily.windows, at(from), at(to)).expect("times");
+            times.iter().map(|time| shown(time.begins)).collect()
+        };
+        assert_eq!(
+            begins("2026-03-28T00:00:00Z", "2026-03-30T12:00:00Z"),
+            ["2026-03-28T01:30:00Z", "2026-03-29T01:30:00Z", "2026-03-30T00:30:00Z"]
+        );
+        assert_eq!(
+            begins("2026-10-24T12:00:00Z", "2026-10-26T12:00:00Z"),
+            ["2026-10-25T00:30:00Z", "2026-10-26T01:30:00Z"]
+        );
+        let weekly = schedule(vec![window("weekly", "a", "2026-03-23T02:30", Repeats::Weekly)]);
+        let times = weekly.times(&weekly.windows, at("2027-01-01T00:00:00Z"), at("2027-01-31T00:00:00Z"));
+        assert_eq!(times.expect("times").len(), 4);
+    }
+
+    #[test]
+    fn windows_that_would_empty_too_many_sites_at_once_are_refused_with_both_their_names() {
+        let now = at("2026-03-01T00:00:00Z");
+        let two = |second: &str| {
+            schedule(vec![
+                window("one", "a", "2026-03-27T02:00", Repeats::Weekly),
+                window("two", "b", second, Repeats::Daily),
+            ])
+        };
+        // The second one's lead begins twenty minutes before it.
+        let fault = two("2026-03-01T03:15").check(now).expect_err("they meet");
+        let words = ["one", "two", "2 sites at once", "2026-03-27T", "move one"];
+        assert!(words.iter().all(|word| fault.to_string().contains(word)), "{fault}");
+        assert_eq!(two("2026-03-01T03:30").check(now), Ok(()));
+        assert_eq!(Schedule { most_at_once: 2, ..two("2026-03-01T03:15") }.check(now), Ok(()));
+    }
+
+    #[test]
+    fn a_schedule_is_checked_whole_and_each_fault_says_where_it_is_and_what_to_do() {
+        const GOOD: &str =
+            "version = 1\ntime_zone = \"Europe/Berlin\"\n[[window]]\nname = \"w\"\nsite = \"a\"\n\
+            begins = \"2026-03-27T02:30\"\nlasts_min = 60\nlead_min = 10\n";
+        let check = |text: &str| {
+            Schedule::parse(text).and_then(|schedule| schedule.check(at("2026-03-01T00:00:00Z")))
+        };
+        assert_eq!(check(GOOD), Ok(()));
+        for (good, bad, words) in [
+            ("lead_min", "lead", ["line 8, column 1", "unknown field"]),
+            ("Europe/Berlin", "Europe/Nowhere", ["Europe/Nowhere is not known", "name one such as"]),
+            ("2026-03-27T02:30", "tonight", ["window w, begins", "a local date and time is wanted"]),
+            ("= 60", "= 0", ["window w, lasts_min", "a minute to two weeks"]),
+            (
+                "= 60",
+                "= 1439\nrepeats = \"daily\"",
+                ["window w, lasts_min", "longer than the time until it comes again"],
+            ),
+            ("\"a\"", "\"\"", ["window w, site", "the name of a zone is wanted"]),
+            ("[[window]]", "least_left = 1.0\n[[window]]", ["least_left: 1", "a part from 0 to under 1"]),
+        ] {
+            let fault = check(&GOOD.replacen(good, bad, 1)).expect_err("a fault").to_string();
+            assert!(words.iter().all(|word| fault.contains(word)), "{words:?} in {fault}");
+        }
+    }
+}
