--- a/crates/maintenance/src/plan.rs
+++ b/crates/maintenance/src/plan.rs
@@ -179,7 +179,7 @@
 
     fn window(name: &str, site: &str, begins_min: i64, lasts_min: u32, lead_min: u32) -> Window {
         let begins = jiff::Timestamp::from_millisecond(T0 + begins_min * MINUTE).expect("a time");
-        let begins = begins.to_zoned(jiff::tz::TimeZone::UTC).datetime().to_string();
+        let begins = begins.to_zoned_datetime(jiff::tz::TimeZone::UTC).datetime().to_string();
         Window { name: name.into(), site: site.into(), begins, lasts_min, lead_min, repeats: Repeats::Once }
     }
 
--- a/crates/maintenance/src/schedule.rs
+++ b/crates/maintenance/src/schedule.rs
@@ -178,8 +178,10 @@
                 (i64::from(window.lead_min) * MINUTE_MS, i64::from(window.lasts_min) * MINUTE_MS);
             let at = |n: i64| -> Result<i64, ScheduleFault> {
                 let day = first.checked_add((n * step).days()).map_err(|fault_| fault(fault_.to_string()))?;
-                let zoned =
-                    zone.to_ambiguous_zoned(day).compatible().map_err(|fault_| fault(fault_.to_string()))?;
+                let zoned = zone
+                    .to_ambiguous_zoned_datetime(day)
+                    .compatible()
+                    .map_err(|fault_| fault(fault_.to_string()))?;
                 Ok(zoned.timestamp().as_millisecond())
             };
             let began = at(0)?;
