--- a/crates/maintenance/src/plan.rs
+++ b/crates/maintenance/src/plan.rs
@@ -178,9 +178,10 @@
     const MINUTE: i64 = 60_000;
 
     fn window(name: &str, site: &str, begins_min: i64, lasts_min: u32, lead_min: u32) -> Window {
+        let (lasts_s, lead_s) = (lasts_min * 60, lead_min * 60);
         let begins = jiff::Timestamp::from_millisecond(T0 + begins_min * MINUTE).expect("a time");
         let begins = begins.to_zoned_datetime(jiff::tz::TimeZone::UTC).datetime().to_string();
-        Window { name: name.into(), site: site.into(), begins, lasts_min, lead_min, repeats: Repeats::Once }
+        Window { name: name.into(), site: site.into(), begins, lasts_s, lead_s, repeats: Repeats::Once }
     }
 
     fn schedule(version: u64, windows: Vec<Window>) -> Schedule {
--- a/crates/maintenance/src/schedule.rs
+++ b/crates/maintenance/src/schedule.rs
@@ -6,14 +6,14 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
-/// Longer than a site is ever without traffic on purpose, in minutes; and the longest time that emptying one may take.
-const LONGEST: u32 = 14 * 24 * 60;
-const LONGEST_LEAD: u32 = 24 * 60;
+/// Longer than a site is ever without traffic on purpose, in seconds; and the longest time that emptying one may take.
+const LONGEST: u32 = 14 * 24 * 3600;
+const LONGEST_LEAD: u32 = 24 * 3600;
 const MOST_WINDOWS: usize = 256;
 /// Clocks of processes differ by seconds: windows count as so much longer on either side where they meet others.
 pub const MARGIN_MS: i64 = 10_000;
-const MINUTE_MS: i64 = 60_000;
-const DAY_MS: i64 = 24 * 60 * MINUTE_MS;
+const SECOND_MS: i64 = 1000;
+const DAY_MS: i64 = 24 * 3600 * SECOND_MS;
 /// So many days ahead windows are laid side by side: a year and its leap day, and the longest window.
 const AHEAD_DAYS: i64 = 366 + 14;
 
@@ -34,9 +34,10 @@
     pub site: String,
     /// Local time, such as 2026-12-05T01:00.
     pub begins: String,
-    pub lasts_min: u32,
+    /// In seconds, both.
+    pub lasts_s: u32,
     /// How long before it begins its traffic starts to go.
-    pub lead_min: u32,
+    pub lead_s: u32,
     #[serde(default)]
     pub repeats: Repeats,
 }
@@ -140,7 +141,7 @@
         let times = self.times(&self.windows, now, now + AHEAD_DAYS * DAY_MS)?;
         for (index, time) in times.iter().enumerate() {
             // They stand in the order in which they begin, and none lasts longer than the longest.
-            let longest = i64::from(LONGEST + LONGEST_LEAD) * MINUTE_MS + 2 * MARGIN_MS;
+            let longest = i64::from(LONGEST + LONGEST_LEAD) * SECOND_MS + 2 * MARGIN_MS;
             let near = times[..index].iter().rev().take_while(|early| time.begins - early.begins < longest);
             let meets: Vec<&Time> = near.filter(|early| early.meets(time)).collect();
             let sites: BTreeSet<&str> =
@@ -174,8 +175,7 @@
                 Repeats::Daily => 1,
                 Repeats::Weekly => 7,
             };
-            let (lead, lasts) =
-                (i64::from(window.lead_min) * MINUTE_MS, i64::from(window.lasts_min) * MINUTE_MS);
+            let (lead, lasts) = (i64::from(window.lead_s) * SECOND_MS, i64::from(window.lasts_s) * SECOND_MS);
             let at = |n: i64| -> Result<i64, ScheduleFault> {
                 let day = first.checked_add((n * step).days()).map_err(|fault_| fault(fault_.to_string()))?;
                 let zoned = zone
@@ -227,19 +227,19 @@
         if self.begins.parse::<DateTime>().is_err() {
             return fault("begins", "a local date and time is wanted, such as 2026-12-05T01:00");
         }
-        if !(1..=LONGEST).contains(&self.lasts_min) {
-            return fault("lasts_min", "a minute to two weeks is wanted");
+        if !(1..=LONGEST).contains(&self.lasts_s) {
+            return fault("lasts_s", "a second to two weeks is wanted");
         }
-        if !(1..=LONGEST_LEAD).contains(&self.lead_min) {
-            return fault("lead_min", "a minute to a day is wanted");
+        if !(1..=LONGEST_LEAD).contains(&self.lead_s) {
+            return fault("lead_s", "a second to a day is wanted");
         }
         let period = match self.repeats {
             Repeats::Once => u32::MAX,
-            Repeats::Daily => 23 * 60,
-            Repeats::Weekly => 167 * 60,
+            Repeats::Daily => 23 * 3600,
+            Repeats::Weekly => 167 * 3600,
         };
-        if self.lead_min + self.lasts_min >= period {
-            return fault("lasts_min", "with its lead it is longer than the time until it comes again");
+        if self.lead_s + self.lasts_s >= period {
+            return fault("lasts_s", "with its lead it is longer than the time until it comes again");
         }
         Ok(())
     }
@@ -259,8 +259,8 @@
             name: name.into(),
             site: site.into(),
             begins: begins.into(),
-            lasts_min: 60,
-            lead_min: 20,
+            lasts_s: 3600,
+            lead_s: 1200,
             repeats,
         }
     }
@@ -315,20 +315,20 @@
     fn a_schedule_is_checked_whole_and_each_fault_says_where_it_is_and_what_to_do() {
         const GOOD: &str =
             "version = 1\ntime_zone = \"Europe/Berlin\"\n[[window]]\nname = \"w\"\nsite = \"a\"\n\
-            begins = \"2026-03-27T02:30\"\nlasts_min = 60\nlead_min = 10\n";
+            begins = \"2026-03-27T02:30\"\nlasts_s = 3600\nlead_s = 600\n";
         let check = |text: &str| {
             Schedule::parse(text).and_then(|schedule| schedule.check(at("2026-03-01T00:00:00Z")))
         };
         assert_eq!(check(GOOD), Ok(()));
         for (good, bad, words) in [
-            ("lead_min", "lead", ["line 8, column 1", "unknown field"]),
+            ("lead_s", "lead", ["line 8, column 1", "unknown field"]),
             ("Europe/Berlin", "Europe/Nowhere", ["Europe/Nowhere is not known", "name one such as"]),
             ("2026-03-27T02:30", "tonight", ["window w, begins", "a local date and time is wanted"]),
-            ("= 60", "= 0", ["window w, lasts_min", "a minute to two weeks"]),
+            ("= 3600", "= 0", ["window w, lasts_s", "a second to two weeks"]),
             (
-                "= 60",
-                "= 1439\nrepeats = \"daily\"",
-                ["window w, lasts_min", "longer than the time until it comes again"],
+                "= 3600",
+                "= 86000\nrepeats = \"daily\"",
+                ["window w, lasts_s", "longer than the time until it comes again"],
             ),
             ("\"a\"", "\"\"", ["window w, site", "the name of a zone is wanted"]),
             ("[[window]]", "least_left = 1.0\n[[window]]", ["least_left: 1", "a part from 0 to under 1"]),
