Maintenance windows in the proxy: a site empties before its window, and comes back as cold

What is left at the beginning is told to move.

Seen: processes that started in the midst of a window sent 66 clients to its site before they first looked at the schedule; now they look with each word of the list.

--- a/crates/proxy/src/comeback.rs
+++ b/crates/proxy/src/comeback.rs
@@ -1,19 +1,21 @@
 //! The proxy among its fellows, where the fleet file is named: what the return asks of it, and what it tells the return.
 
-use crate::circuit::Circuit;
+use crate::circuit::{Circuit, Stage};
 use crate::fellows::{Company, Fellows};
 use crate::fleet_file::{FleetFault, FleetFile};
 use crate::listing::{Entry, Health, Listing};
 use crate::proxy::Proxy;
 use crate::spaces::{Changed, Decided, Shared, Spaces};
+use crate::windows::WINDOWS;
 use serde::{de::DeserializeOwned, Serialize};
 use shelfgrade::handover::Remembered;
-use shelfgrade::host::Turn;
+use shelfgrade::host::{Host, Listed, ServerId, Standing, Turn};
 use shelfgrade::time::Span;
 use shelfgrade_recovery::around::{Line, Terms};
 use shelfgrade_recovery::order::{Owed, State};
 use shelfgrade_recovery::trust::{self, Fact};
 use shelfgrade_terms::Terms as Settings;
+use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a key that an earlier life knew is known: as long as the table knows a connection after its end.
@@ -34,10 +36,15 @@
 
 impl Company for Proxy {
     fn follow(&mut self, lines: Vec<Line>, whole: bool) {
-        let now = self.hands.clock.now();
-        self.hands.follow(lines.iter().map(|line| (&line.listed, line.dial)), whole);
-        let listed: Vec<_> = lines.into_iter().map(|line| line.listed).collect();
-        self.chooser.listed(&listed, whole, now);
+        if whole {
+            self.told.clear();
+        }
+        for line in &lines {
+            self.told.insert(line.listed.server.clone(), (line.listed.clone(), line.dial));
+        }
+        self.look_at_windows();
+        self.go_by_lines(lines.iter().map(|line| (line.listed.clone(), line.dial)).collect(), whole);
+        self.told.retain(|_, (line, _)| line.standing != Standing::Gone);
         self.spaces.follow(self.chooser.list());
         let live = self.chooser.customers();
         let changed = live.iter().filter_map(|customer| self.spaces.changed(customer)).collect();
@@ -89,6 +96,10 @@
 
     fn shared(&mut self, key: &str) {
         let Some(fellows) = self.fellows.clone() else { return };
+        if key.starts_with(WINDOWS) {
+            let now = fellows.fleet_ms(self.hands.clock.now());
+            return self.windows.heard(now, &*fellows);
+        }
         let changed = self.spaces.heard(key, &*fellows);
         self.go_by(changed);
     }
@@ -140,13 +151,53 @@
         Ok(())
     }
 
-    /// Reads customers' namespaces again, where the fleet file says that they are.
+    /// Reads customers' namespaces and the windows again, where the fleet file says that they are.
     pub fn read_namespaces(&mut self) {
         let Some(fellows) = self.fellows.clone() else { return };
         if let Some(folder) = fellows.namespaces_dir() {
             self.spaces.read(&folder, &*fellows);
-            fellows.tell_news(self);
         }
+        if let Some(path) = fellows.maintenance() {
+            self.windows.read(&path, fellows.fleet_ms(self.hands.clock.now()), &*fellows);
+        }
+        fellows.tell_news(self);
+    }
+
+    /// Goes by these lines, as far as windows leave them what they are.
+    fn go_by_lines(&mut self, lines: Vec<(Listed, Option<SocketAddr>)>, whole: bool) {
+        let now = self.hands.clock.now();
+        let as_put = |line: &Listed| self.windows.line(line, self.warm_up, now);
+        let lines: Vec<_> = lines.iter().map(|(line, dial)| (as_put(line), *dial)).collect();
+        self.hands.follow(lines.iter().map(|(line, dial)| (line, *dial)), whole);
+        let listed: Vec<_> = lines.into_iter().map(|(line, _)| line).collect();
+        self.chooser.listed(&listed, whole, now);
+    }
+
+    /// Called once a second, and with each word of the list before anybody goes by it: sites empty, close and come back by
+    /// the schedule. Guards against a process that starts in the midst of a window sending clients there until it looks.
+    pub fn look_at_windows(&mut self) {
+        let Some(fellows) = self.fellows.clone().filter(|_| !self.windows.are_none()) else { return };
+        let now = self.hands.clock.now();
+        let list: Vec<_> = self.told.values().map(|(line, _)| line.clone()).collect();
+        let site_of = |server: &ServerId| self.told.get(server).map(|(line, _)| line.zone.clone());
+        let standing: Vec<_> =
+            self.hands.circuits.values().filter(|c| c.stage.get() == Stage::Standing).collect();
+        let at: Vec<_> = standing
+            .iter()
+            .filter_map(|c| Some((c.id, site_of(&c.connect.borrow().as_ref()?.server.id)?)))
+            .collect();
+        let held = |site: &str| at.iter().filter(|(_, zone)| zone == site).count();
+        let look = self.windows.look(fellows.fleet_ms(now), &list, held);
+        if look.changed {
+            self.go_by_lines(self.told.values().cloned().collect(), true);
+        }
+        for (circuit, site) in at {
+            if look.begun.contains(&site) {
+                self.hands.tally.count("moved as their site's window began");
+                self.hands.send_away(circuit);
+            }
+        }
+        self.settle();
     }
 
     fn go_by(&mut self, changed: Vec<Changed>) {
--- a/crates/proxy/src/fellows.rs
+++ b/crates/proxy/src/fellows.rs
@@ -284,6 +284,15 @@
         self.file.borrow().namespaces_dir.clone()
     }
 
+    pub fn maintenance(&self) -> Option<PathBuf> {
+        self.file.borrow().maintenance.clone()
+    }
+
+    /// The fleet's time, by the most of its clocks, in Unix milliseconds.
+    pub fn fleet_ms(&self, now: Point) -> i64 {
+        wall_ms(now) as i64 + self.core.borrow().fleet().clock_correction_ms()
+    }
+
     pub fn let_in(&self) {
         self.core.borrow_mut().let_in();
     }
--- a/crates/proxy/src/fleet_file.rs
+++ b/crates/proxy/src/fleet_file.rs
@@ -36,6 +36,7 @@
     fellows: BTreeMap<String, SocketAddr>,
     state_dir: Option<PathBuf>,
     namespaces_dir: Option<PathBuf>,
+    maintenance: Option<PathBuf>,
     #[serde(default = "list_wait_ms")]
     list_wait_ms: u64,
     #[serde(default = "save_every_ms")]
@@ -59,6 +60,7 @@
     pub addresses: Vec<SocketAddr>,
     pub state_dir: Option<PathBuf>,
     pub namespaces_dir: Option<PathBuf>,
+    pub maintenance: Option<PathBuf>,
     pub list_wait: Span,
     pub save_every: Span,
 }
@@ -101,8 +103,17 @@
         }
         // Both go by the order of the names.
         let addresses = file.fellows.values().copied().collect();
-        let File { state_dir, namespaces_dir, .. } = file;
-        Ok(FleetFile { path, roster, addresses, state_dir, namespaces_dir, list_wait, save_every })
+        let File { state_dir, namespaces_dir, maintenance, .. } = file;
+        Ok(FleetFile {
+            path,
+            roster,
+            addresses,
+            state_dir,
+            namespaces_dir,
+            maintenance,
+            list_wait,
+            save_every,
+        })
     }
 
     /// What cannot change while processes run: parts of the fleet's rights are by the roster.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,3 +32,4 @@
 mod socket;
 mod spaces;
 mod tally;
+mod windows;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -17,11 +17,13 @@
 use crate::socket::Socket;
 use crate::spaces::Spaces;
 use crate::start::{Limits, Start};
+use crate::windows::Windows;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, LoopHandle, LoopSignal};
-use shelfgrade::host::{Arrival, CircuitId, Ending, ServerId};
+use shelfgrade::host::{Arrival, CircuitId, Ending, Listed, ServerId};
 use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +34,10 @@
 pub struct Proxy {
     pub chooser: Choosers,
     pub spaces: Spaces,
+    pub windows: Windows,
+    /// The list as the fleet has it, before windows are put on it.
+    pub told: BTreeMap<ServerId, (Listed, Option<SocketAddr>)>,
+    pub warm_up: Span,
     pub hands: Hands,
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
@@ -104,6 +110,9 @@
             start.seed,
         ),
         spaces: Spaces::new((0, 1)),
+        windows: Windows::default(),
+        told: BTreeMap::new(),
+        warm_up: start.terms.warm_up,
         hands,
         offerings: start.terms.offerings,
         door,
@@ -274,6 +283,7 @@
         self.pulses_taken = now;
         let there = &self.hands.circuits;
         self.chooser.sweep(|circuit| there.contains_key(circuit), now);
+        self.look_at_windows();
         let servers: Vec<_> = self.hands.servers.values().cloned().collect();
         let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
         for circuit in circuits {
--- a/crates/proxy/src/spaces.rs
+++ b/crates/proxy/src/spaces.rs
@@ -171,7 +171,8 @@
     }
 }
 
-fn put<T: Serialize>(whole: &str, version: u64, value: &T, shared: &impl Shared) -> Result<(), String> {
+/// Puts something into what all share, in pieces.
+pub fn put<T: Serialize>(whole: &str, version: u64, value: &T, shared: &impl Shared) -> Result<(), String> {
     let (head, pieces) = cut(version, value).map_err(|fault| fault.to_string())?;
     for (index, piece) in pieces.iter().enumerate() {
         shared.put(&key(whole, index), piece, version)?;
@@ -179,7 +180,8 @@
     shared.put(whole, &head, version)
 }
 
-fn whole<T: DeserializeOwned>(whole: &str, shared: &impl Shared) -> Option<T> {
+/// What was put so, once all of it is there.
+pub fn whole<T: DeserializeOwned>(whole: &str, shared: &impl Shared) -> Option<T> {
     let head: Head = shared.get(whole)?;
     join(&head, |piece| shared.get(&key(whole, piece)))
 }
--- /dev/null
+++ b/crates/proxy/src/windows.rs
@@ -0,0 +1,146 @@
+//! Maintenance windows in one process: read from a file, spread over the fleet, and put on the list of servers: for the
+//! decisions a site in its window drains, and comes back as cold.
+//!
+//! The file is the fleet file's `maintenance`. Whoever has a newer version spreads it; it comes into force whole.
+
+use crate::spaces::{put, whole, Shared};
+use shelfgrade::host::{Listed, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use shelfgrade_maintenance::plan::{goes, short_by, Phase, Plan, Site};
+use shelfgrade_maintenance::schedule::{shown, Schedule};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Under which all share it.
+pub const WINDOWS: &str = "windows";
+/// What one process moves off a site in a second: four rounds, in each of which a server that drains sends one away.
+const A_SECOND: f64 = 4.0;
+
+#[derive(Default)]
+pub struct Windows {
+    plan: Option<Plan>,
+    phases: BTreeMap<String, Phase>,
+    /// What each server was put to last.
+    put: BTreeMap<ServerId, Standing>,
+}
+
+/// What a look at the clock brought.
+#[derive(Default)]
+pub struct Look {
+    /// Servers whose lines are others than before.
+    pub changed: bool,
+    /// Sites whose window begins now: what is left there is told to move.
+    pub begun: Vec<String>,
+}
+
+impl Windows {
+    /// Reads the file and spreads it, if it can be used.
+    pub fn read(&self, path: &Path, now_ms: i64, shared: &impl Shared) {
+        let read = || {
+            let text = std::fs::read_to_string(path).map_err(|fault| fault.to_string())?;
+            let schedule = Schedule::parse(&text).map_err(|fault| fault.to_string())?;
+            schedule.check(now_ms).map_err(|fault| fault.to_string())?;
+            put(WINDOWS, schedule.version, &schedule, shared)
+        };
+        if let Err(fault) = read() {
+            log::error!("{}: {fault}; the schedule before stays", path.display());
+        }
+    }
+
+    /// The schedule has changed in what all share.
+    pub fn heard(&mut self, now_ms: i64, shared: &impl Shared) {
+        let Some(schedule) = whole::<Schedule>(WINDOWS, shared) else { return };
+        let held = self.plan.as_ref().map_or(0, Plan::version);
+        if schedule.version <= held {
+            return;
+        }
+        if let Err(fault) = schedule.check(now_ms) {
+            return log::error!(
+                "maintenance: version {}: {fault}; the schedule before stays",
+                schedule.version
+            );
+        }
+        log::info!("maintenance: version {} is in force", schedule.version);
+        match &mut self.plan {
+            Some(plan) => plan.follow(schedule),
+            None => self.plan = Some(Plan::new(schedule)),
+        }
+    }
+
+    /// Looks at the clock; `list` is the list as discovery has it, `held` how many circuits this process has at a site.
+    pub fn look(&mut self, now_ms: i64, list: &[Listed], held: impl Fn(&str) -> usize) -> Look {
+        let Some(plan) = &mut self.plan else { return Look::default() };
+        let mut sites: BTreeMap<String, Site> = BTreeMap::new();
+        for line in list {
+            let site = sites.entry(line.zone.clone()).or_insert(Site { servers: 0 });
+            site.servers += usize::from(line.standing == Standing::Active);
+        }
+        let phases = match plan.at(now_ms, &sites) {
+            Ok(phases) => phases,
+            Err(fault) => {
+                log::error!("maintenance: {fault}");
+                return Look::default();
+            }
+        };
+        let mut look = Look::default();
+        for (site, phase) in &phases {
+            if self.phases.get(site).unwrap_or(&Phase::Open) == phase {
+                continue;
+            }
+            match phase {
+                Phase::Open => log::info!("site {site}: open again"),
+                Phase::Emptying { begins, .. } => {
+                    log::info!("site {site}: emptying, until its window begins at {}", shown(*begins));
+                    if let Some(short) = short_by(held(site), A_SECOND, begins - now_ms) {
+                        log::warn!(
+                            "site {site}: the lead is {} s too short for what stands here",
+                            short / 1000
+                        );
+                    }
+                }
+                Phase::Closed { until } => {
+                    log::info!("site {site}: without traffic, until {}", shown(*until));
+                    look.begun.push(site.clone());
+                }
+                Phase::HeldBack { why } => log::warn!("site {site}: its window is held back: {why}"),
+            }
+        }
+        self.phases = phases;
+        let now: BTreeMap<_, _> =
+            list.iter().map(|line| (line.server.clone(), self.standing(line, list, now_ms))).collect();
+        look.changed = now != self.put;
+        self.put = now;
+        look
+    }
+
+    /// What a server is for the decisions.
+    fn standing(&self, line: &Listed, list: &[Listed], now_ms: i64) -> Standing {
+        let mates = || list.iter().filter(|other| other.zone == line.zone);
+        let drains = match self.phases.get(&line.zone) {
+            Some(Phase::Closed { .. }) => true,
+            Some(Phase::Emptying { since, begins }) => {
+                let place = mates().filter(|other| other.server < line.server).count();
+                goes(place, mates().count(), (*since, *begins), now_ms)
+            }
+            _ => false,
+        };
+        if drains && line.standing == Standing::Active {
+            Standing::Draining
+        } else {
+            line.standing
+        }
+    }
+
+    /// A line of the list as the decisions get it: draining in its site's window, and cold after it.
+    pub fn line(&self, line: &Listed, warm_up: Span, now: Point) -> Listed {
+        let Some(plan) = &self.plan else { return line.clone() };
+        let standing = self.put.get(&line.server).copied().unwrap_or(line.standing);
+        let back = plan.back_since(&line.zone).map(|ms| Point::from_ms(ms as f64));
+        let back = back.filter(|back| now.since(*back) < warm_up && standing == Standing::Active);
+        Listed { standing, started: line.started.max(back), ..line.clone() }
+    }
+
+    pub fn are_none(&self) -> bool {
+        self.plan.is_none()
+    }
+}
--- a/crates/trials/src/discovery.rs
+++ b/crates/trials/src/discovery.rs
@@ -139,8 +139,8 @@
 }
 
 fn entry(server: &Server, health: &str) -> String {
-    let (name, dial, born) = (&server.name, server.address, server.born_ms());
+    let (name, dial, born, site) = (&server.name, server.address, server.born_ms(), server.site());
     format!(
-        r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m2","block":0,"health":"{health}","born_ms":{born}}}"#
+        r#"{{"host":"{name}","dial":"{dial}","site":"{site}","class":"m2","block":0,"health":"{health}","born_ms":{born}}}"#
     )
 }
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -167,9 +167,9 @@
 
 pub fn known(servers: &[Arc<Server>]) -> String {
     let entry = |server: &Arc<Server>| {
-        let (name, dial, born) = (&server.name, server.address, server.born_ms());
+        let (name, dial, born, site) = (&server.name, server.address, server.born_ms(), server.site());
         format!(
-            r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m2","block":0,"health":"in_service","born_ms":{born}}}"#
+            r#"{{"host":"{name}","dial":"{dial}","site":"{site}","class":"m2","block":0,"health":"in_service","born_ms":{born}}}"#
         )
     };
     let entries: Vec<_> = servers.iter().map(entry).collect();
--- a/crates/trials/src/server.rs
+++ b/crates/trials/src/server.rs
@@ -99,6 +99,15 @@
         *self.born_ms.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Servers stand in two sites by turns.
+    pub fn site(&self) -> &'static str {
+        if self.index.is_multiple_of(2) {
+            "a"
+        } else {
+            "b"
+        }
+    }
+
     pub fn holds(&self) -> usize {
         self.state().held
     }
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -117,10 +117,22 @@
         for (name, text) in files {
             std::fs::write(folder.join(name), text).expect("a file");
         }
+        self.names(process, "namespaces_dir", &folder);
+    }
+
+    /// Puts this schedule where one process reads it; at its next start or SIGHUP.
+    pub fn maintenance(&self, process: usize, text: &str) {
+        let path = self.given.folder.join("maintenance.toml");
+        std::fs::write(&path, text).expect("a file");
+        self.names(process, "maintenance", &path);
+    }
+
+    /// Has a process's fleet file name a path.
+    fn names(&self, process: usize, key: &str, path: &std::path::Path) {
         let file = self.processes[process].fleet_file();
         let text = std::fs::read_to_string(&file).expect("its fleet file");
-        if !text.contains("namespaces_dir") {
-            let text = format!("namespaces_dir = \"{}\"\n{text}", folder.display());
+        if !text.contains(key) {
+            let text = format!("{key} = \"{}\"\n{text}", path.display());
             std::fs::write(&file, text).expect("its fleet file");
         }
     }
