--- a/crates/proxy/src/fleet_file.rs
+++ b/crates/proxy/src/fleet_file.rs
@@ -140,6 +140,18 @@
         FleetFile::parse("fleet.toml", text, "n1").err().expect("a fault").to_string()
     }
 
+    /// A key that the shipped file explains has to be one that is read.
+    #[test]
+    fn the_shipped_file_can_be_used_with_its_keys_switched_on() {
+        let shipped = include_str!("../../../deploy/fleet.toml");
+        let on = shipped
+            .replace("# namespaces_dir =", "namespaces_dir =")
+            .replace("# maintenance =", "maintenance =");
+        let file = FleetFile::parse("deploy/fleet.toml", &on, "n2").expect("the shipped file");
+        assert_eq!(file.roster.size(), 3);
+        assert!(file.state_dir.is_some() && file.namespaces_dir.is_some() && file.maintenance.is_some());
+    }
+
     #[test]
     fn the_file_is_checked_whole_and_each_fault_says_where_it_is_and_what_to_do() {
         let file = FleetFile::parse("fleet.toml", GOOD, "n1").expect("a good file");
