--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -1,7 +1,6 @@
 //! The program itself: real processes, each with files of its own, that are killed, stopped, woken and started again.
 
 use crate::clients::{CLASSES, CUSTOMERS};
-use crate::record::Record;
 use crate::relay::Relay;
 use crate::server::{Make, Server};
 use nanorand::{Rng, WyRand};
@@ -9,7 +8,7 @@
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, Once, PoisonError};
 use std::time::Duration;
@@ -183,11 +182,11 @@
 }
 
 impl Front {
-    pub fn begin(addresses: Vec<SocketAddr>, record: &Record) -> Arc<Self> {
+    pub fn begin(addresses: Vec<SocketAddr>) -> Arc<Self> {
         let ready = Mutex::new(vec![false; addresses.len()]);
         let front = Arc::new(Front { addresses, ready });
         for index in 0..front.addresses.len() {
-            tokio::spawn(front.clone().looks_after(index, record.clone()));
+            tokio::spawn(front.clone().looks_after(index));
         }
         front
     }
@@ -207,7 +206,7 @@
         Some((index, self.addresses[index]))
     }
 
-    async fn looks_after(self: Arc<Self>, index: usize, _record: Record) {
+    async fn looks_after(self: Arc<Self>, index: usize) {
         loop {
             let pong = timeout(Duration::from_millis(1500), signs(self.addresses[index])).await;
             self.ready()[index] = matches!(pong, Ok(true));
@@ -224,10 +223,3 @@
         && stream.read_line(&mut line).await.is_ok()
         && line.trim_end() == "PONG"
 }
-
-/// Whether a process's disk has something to begin with.
-pub fn has_snapshot(folder: &Path) -> bool {
-    fs::read_dir(folder).is_ok_and(|mut files| {
-        files.any(|file| file.is_ok_and(|f| f.file_name().to_string_lossy().starts_with("shelfgrade.")))
-    })
-}
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -65,7 +65,7 @@
         let processes: Vec<_> = (0..shape.processes).map(|index| Process::new(index, &given)).collect();
         let names: Vec<_> = processes.iter().map(|process| process.name.clone()).collect();
         processes.iter().for_each(|process| process.write_files(&given, &relay, &names));
-        let front = Front::begin(processes.iter().map(|process| process.listen).collect(), &record);
+        let front = Front::begin(processes.iter().map(|process| process.listen).collect());
         Trial {
             shape,
             record,
@@ -96,7 +96,7 @@
 
     /// Has clients come before a proxy of another kind, in place of the processes.
     pub fn before(&mut self, address: SocketAddr) {
-        self.front = Front::begin(vec![address], &self.record);
+        self.front = Front::begin(vec![address]);
     }
 
     pub fn clients_come(&mut self, within: Duration) {
