--- a/crates/recovery/src/comeback.rs
+++ b/crates/recovery/src/comeback.rs
@@ -6,7 +6,7 @@
 use crate::counting::{Counting, Told};
 use crate::order::{Return, State};
 use crate::snapshot::{Held, Saved};
-use crate::trust::{digest, Fact, Health, Restored, BEATS, LIST, SERVERS};
+use crate::trust::{digest, server, Fact, Health, Restored, BEATS, LIST, SERVERS};
 use nanorand::{Rng, WyRand};
 use shelfgrade::host::{Listed, Turn};
 use shelfgrade::time::{Point, Span};
@@ -38,12 +38,6 @@
 /// Discovery that has answered within this is there: a watch that is over after four seconds and some more.
 const ANSWERS: Span = Span::millis(6000);
 
-/// A server's line in what all share.
-fn server(entry: &Entry) -> Option<(String, Fact)> {
-    let host = entry.key.strip_prefix(SERVERS)?;
-    Some((host.to_owned(), postcard::from_bytes(entry.value.as_deref()?).ok()?))
-}
-
 impl Comeback {
     /// `wall_ms`: this machine's Unix time. `before`: what an earlier life left on the disk.
     pub fn new(
--- a/crates/recovery/src/trust.rs
+++ b/crates/recovery/src/trust.rs
@@ -65,6 +65,12 @@
     }
 }
 
+/// A server's line in what all share.
+pub(crate) fn server(entry: &Entry) -> Option<(String, Fact)> {
+    let host = entry.key.strip_prefix(SERVERS)?;
+    Some((host.to_owned(), postcard::from_bytes(entry.value.as_deref()?).ok()?))
+}
+
 /// One number for a whole list: the same where all lines are, in whatever order. What is gone counts as not there.
 pub fn digest<'a>(facts: impl Iterator<Item = (&'a str, &'a Fact)>) -> u32 {
     let there = facts.filter(|(_, fact)| fact.health != Health::Terminated);
@@ -88,9 +94,8 @@
 impl Restored {
     pub fn from(saved: Saved, now: Point) -> Self {
         let fact = |entry: &Entry| -> Option<Listed> {
-            let host = entry.key.strip_prefix(SERVERS)?;
-            let fact: Fact = postcard::from_bytes(entry.value.as_deref()?).ok()?;
-            Some(fact.line(host, Some(now))).filter(|_| fact.health != Health::Terminated)
+            let (host, fact) = server(entry)?;
+            Some(fact.line(&host, Some(now))).filter(|_| fact.health != Health::Terminated)
         };
         Restored {
             candidates: saved.entries.iter().filter_map(fact).collect(),
