News of a drain is in hand in time: drawn waits, tries by what is left, read before the first byte

Ruled out: the order in which discovery's calls are dialled (loopback, up at once), and the price of calls (renewed watches cost none).

- A watch's wait is drawn anew each time (0.8 to 2 s; 4 s in phase before), a new watch waits for less of it; silence is known after 2.8 s at the latest.
`list_lost` tells when the missed news is due, and no pause after a refusal takes over half of what is left until then; a second silence does not put it off.
- An agent of a pushed list is asked with waits of 0.15 to 0.3 s and a dial of 0.25 s: a call that hung in its outage was given up after 4.3 s, where what it gets at the return counts at once.
- News that lies unread in the same turn of the loop is read before a circuit is placed and before a first byte is written (`Discovery::look`), and before SIGHUP drops the old discovery's connection.
Without it the test sees the first line sent to a server whose drain had been told.

The end follows from the settings: all its times were fit for patience of three seconds, so with 1.2 s the process was killed (1.9 s) before it told anybody to move; at 3 s it left at 3.6 to 3.7 s, and is killed at 3.7. Who has connected and sent nothing yet, or half a line, was closed on when no circuit was left; now the end waits for them, and who is at the door or in its queue at the last is told BUSY.

Tests: watches.rs, crossing.rs, ending.rs on sockets, one story on the decisions. Run against the text before, eleven of the thirteen on sockets fail (all but a second signal, and the end before the list is heard, which held).

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -17,6 +17,8 @@
     begun: RefCell<Vec<u8>>,
     /// It has asked for a sign of life and waits for it.
     pub asks: Cell<bool>,
+    /// It has asked once, as a front does that may keep its connection.
+    asked: Cell<bool>,
 }
 
 impl Caller {
@@ -27,6 +29,7 @@
             socket: Rc::new(socket),
             begun: RefCell::default(),
             asks: Cell::default(),
+            asked: Cell::default(),
         })
     }
 
@@ -56,6 +59,7 @@
         let line = whole(line);
         if line == Some("PING") {
             self.asks.set(true);
+            self.asked.set(true);
             if !proxy.early.waits() {
                 self.answer_sign(proxy.is_ready());
             }
@@ -65,6 +69,7 @@
             Some(_) if proxy.hands.is_full() => {
                 self.refuse("BUSY", "pushed back for want of descriptors", proxy);
             }
+            Some(_) if proxy.has_closed() => self.refuse("BUSY", "pushed back at the end", proxy),
             Some(open) if !proxy.door.is_new(open.id) => self.refuse("ERR", "ids in use", proxy),
             Some(open) => {
                 proxy.door.forget(self);
@@ -74,6 +79,11 @@
         }
     }
 
+    /// It may be a client that has yet to send its line, or is half through it.
+    pub fn is_owed(&self) -> bool {
+        !self.asked.get() || !self.begun.borrow().is_empty()
+    }
+
     /// Answers who has asked for a sign of life.
     pub fn answer_sign(&self, ready: bool) {
         if self.asks.take() {
--- a/crates/proxy/src/choosers.rs
+++ b/crates/proxy/src/choosers.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    pub fn list_lost(&mut self, host: &mut dyn Host) {
-        self.common.list_lost(host);
+    pub fn list_lost(&mut self, due: Point, host: &mut dyn Host) {
+        self.common.list_lost(due, host);
     }
 
     pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -8,21 +8,52 @@
 use crate::socket::Socket;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::RegistrationToken;
-use shelfgrade::time::Span;
+use nanorand::{Rng, WyRand};
+use shelfgrade::time::{Point, Span};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-// How long a watch waits for news. What a silent one misses counts as told six seconds after it fell silent, or
-// two after its wait, whichever is later: with a wait of four its silence is always known before the first of
-// these, with time left for another call.
-const WAIT: Span = Span::millis(4000);
-// An answer to a wait that is over is on its way for less than this; who asks again then has 1.7 s left of two.
-const SLACK: Span = Span::millis(300);
-// A call that does not wait, and a connection: short enough for another try in the four seconds after which
-// the list of a new discovery counts as told.
-const AT_ONCE: Span = Span::millis(3000);
-const DIAL: Span = Span::millis(1000);
+// What a silent watch misses counts as told six seconds after it fell silent, or two after its wait, whichever is
+// later. It may have fallen silent as soon as it was asked for.
+const COUNTS_AFTER: Span = Span::millis(6000);
+const PAST_ITS_WAIT: Span = Span::millis(2000);
+
+/// How long calls may take.
+pub struct Pace {
+    /// How long a watch waits for news, drawn anew for each. Guards against a fleet whose watches, all answered at the
+    /// same change and silent together, would all ask in the same instant: more than discovery can take. A new watch,
+    /// which may be kept waiting before, waits for less of it.
+    waits: [Span; 2],
+    /// The answer to a wait that is over is on its way for less than this, where the watch went on from an answer;
+    slack: Span,
+    /// where it is a new one, discovery may have others to answer before.
+    in_turn: Span,
+    /// A call that does not wait, and a connection.
+    at_once: Span,
+    dial: Span,
+}
+
+/// Discovery that all proxies ask: with these waits silence is known 2.8 s after a watch was asked for at the latest, which leaves
+/// time for a call that is kept waiting and refused, and for others after it. Another try after a connection that is
+/// not up, or a call that is silent, comes in the four seconds after which a new discovery's list counts as told.
+pub const ASKED: Pace = Pace {
+    waits: [Span::millis(800), Span::millis(2000)],
+    slack: Span::millis(300),
+    in_turn: Span::millis(2000),
+    at_once: Span::millis(3000),
+    dial: Span::millis(1000),
+};
+
+/// An agent of this proxy's own, on the same machine: it answers within milliseconds. Guards against hanging on a call
+/// from an outage: what the agent gets when that is over counts as told at once.
+pub const PUSHED: Pace = Pace {
+    waits: [Span::millis(150), Span::millis(300)],
+    slack: Span::millis(150),
+    in_turn: Span::millis(150),
+    at_once: Span::millis(1000),
+    dial: Span::millis(250),
+};
 
 /// What became of a call that brought no list.
 #[derive(Debug, thiserror::Error)]
@@ -31,9 +62,7 @@
         "discovery at {at}: cannot connect ({source}): start it, or correct its address in the start-up file"
     )]
     Dial { at: SocketAddr, source: std::io::Error },
-    #[error(
-        "discovery at {at}: no connection within a second: see whether it runs and the way there is open"
-    )]
+    #[error("discovery at {at}: no connection in time: see whether it runs and the way there is open")]
     NotUp { at: SocketAddr },
     #[error("discovery at {at}: silent: asked again at once; if this goes on, look at it and the way there")]
     Silent { at: SocketAddr },
@@ -49,8 +78,9 @@
     fn listed(&mut self, listing: &Listing) -> bool;
     /// A call was refused or has failed.
     fn list_failed(&mut self, fault: &CallFault);
-    /// A watch, or a call that was taken, has had no answer in its time: it is broken.
-    fn list_silent(&mut self, fault: &CallFault);
+    /// A watch, or a call that was taken, has had no answer in its time: it is broken. What it missed counts as told at
+    /// `due`.
+    fn list_silent(&mut self, fault: &CallFault, due: Point);
 }
 
 pub struct Discovery<F: Follower> {
@@ -62,11 +92,13 @@
     /// The call that is out.
     call: RefCell<Option<Exchange>>,
     timer: Cell<Option<RegistrationToken>>,
+    pace: Pace,
+    chance: RefCell<WyRand>,
 }
 
 impl<F: Follower> Discovery<F> {
     /// `seq` is the version of the list held, if there is one.
-    pub fn new(at: SocketAddr, seq: Option<u64>) -> Rc<Self> {
+    pub fn new(at: SocketAddr, seq: Option<u64>, pace: Pace, seed: u64) -> Rc<Self> {
         Rc::new(Discovery {
             at: Cell::new(at),
             seq: Cell::new(seq),
@@ -75,13 +107,16 @@
             inbox: RefCell::new(Ring::new(16 << 10)),
             call: RefCell::default(),
             timer: Cell::default(),
+            pace,
+            chance: RefCell::new(WyRand::new_seed(seed)),
         })
     }
 
     /// From now on another one is asked; true if it is another. Guards against hearing both: what the old one
     /// was asked is dropped with its connection and its time-out, and as versions may not match, the new one
-    /// is asked for the whole list.
-    pub fn move_to(&self, at: SocketAddr, follower: &F) -> bool {
+    /// is asked for the whole list. What the old one has written until now counts as told, and is heard first.
+    pub fn move_to(self: &Rc<Self>, at: SocketAddr, follower: &mut F) -> bool {
+        self.look(follower);
         let moves = self.at.replace(at) != at;
         if moves {
             self.forget(follower);
@@ -91,13 +126,24 @@
 
     /// Asks for what is newer than the list held, or for all of it; where a call is out, that one serves.
     pub fn ask(self: &Rc<Self>, follower: &mut F) {
+        self.call(false, follower);
+    }
+
+    /// `goes_on`: the last call has just been answered.
+    fn call(self: &Rc<Self>, goes_on: bool, follower: &mut F) {
         if self.call.borrow().is_some() {
             return;
         }
-        let (path, within) = match self.seq.get() {
-            Some(seq) => (format!("/catalog/members?index={seq}&wait={}", WAIT.as_ms()), WAIT + SLACK),
-            None => ("/catalog/members".to_owned(), AT_ONCE),
+        let began = follower.now();
+        let (path, wait, more) = match self.seq.get() {
+            Some(seq) => {
+                let (part, more) = if goes_on { (1.0, self.pace.slack) } else { (0.4, self.pace.in_turn) };
+                let wait = self.draw_wait(part);
+                (format!("/catalog/members?index={seq}&wait={}", wait.as_ms()), wait, more)
+            }
+            None => ("/catalog/members".to_owned(), Span::default(), self.pace.at_once),
         };
+        let due = began + COUNTS_AFTER.max(wait + PAST_ITS_WAIT);
         let begun = Exchange::get(self.at.get(), &path)
             .map_err(|source| CallFault::Http { at: self.at.get(), source });
         let dialled = begun.and_then(|(call, bytes)| {
@@ -107,8 +153,8 @@
             self.dial(follower).map_err(|source| CallFault::Dial { at: self.at.get(), source })
         });
         // A failure at once is told as one in time is: not from within this call.
-        let first = if dialled.is_ok() { DIAL } else { Span::default() };
-        let (me, ends, fault) = (self.clone(), follower.now() + within, Cell::new(dialled.err()));
+        let first = if dialled.is_ok() { self.pace.dial } else { Span::default() };
+        let (me, ends, fault) = (self.clone(), began + wait + more, Cell::new(dialled.err()));
         let timer = Timer::from_duration(duration(first));
         let token = follower.handle().insert_source(timer, move |_, _, follower| {
             let left = ends.since(follower.now());
@@ -120,13 +166,34 @@
             let at = me.at.get();
             let fault =
                 fault.take().unwrap_or(if up { CallFault::Silent { at } } else { CallFault::NotUp { at } });
-            me.failed(&fault, follower);
+            match fault {
+                CallFault::Silent { .. } => {
+                    me.drop_call(follower);
+                    follower.list_silent(&fault, due);
+                }
+                _ => me.failed(&fault, follower),
+            }
             TimeoutAction::Drop
         });
         self.timer.set(token.ok());
         self.flush();
     }
 
+    /// How long the next watch waits, in whole milliseconds.
+    fn draw_wait(&self, part: f64) -> Span {
+        let [least, most] = self.pace.waits.map(Span::as_ms);
+        let luck = f64::from(self.chance.borrow_mut().generate::<f32>());
+        Span::from_ms((part * (least + (most - least) * luck)).floor())
+    }
+
+    /// Takes in what has come but was not heard of yet. Guards against placing a circuit, or writing its first byte, by
+    /// a list that is no longer the last one told: the news may lie unread in the same turn of the loop.
+    pub fn look(self: &Rc<Self>, follower: &mut F) {
+        if self.call.borrow().is_some() {
+            self.ready(follower);
+        }
+    }
+
     fn dial(self: &Rc<Self>, follower: &mut F) -> std::io::Result<()> {
         if self.socket.borrow().is_none() {
             let socket = Rc::new(Socket::dial(self.at.get())?);
@@ -183,7 +250,7 @@
                     self.call.take();
                     self.seq.set(Some(listing.seq));
                     if follower.listed(&listing) {
-                        self.ask(follower);
+                        self.call(true, follower);
                     }
                 }
                 Err(source) => self.failed(&CallFault::List { at, source }, follower),
@@ -195,10 +262,8 @@
     fn failed(&self, fault: &CallFault, follower: &mut F) {
         let asked = self.call.borrow().is_some();
         self.drop_call(follower);
-        match fault {
-            _ if !asked => {}
-            CallFault::Silent { .. } => follower.list_silent(fault),
-            _ => follower.list_failed(fault),
+        if asked {
+            follower.list_failed(fault);
         }
     }
 
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -91,7 +91,7 @@
 }
 
 impl Proxy {
-    fn accept(&mut self) {
+    pub fn accept(&mut self) {
         // Guards against a storm of clients starving those that are there.
         const AT_ONCE: usize = 32;
         for _ in 0..AT_ONCE {
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -3,12 +3,41 @@
 
 use crate::circuit::{Circuit, Stage};
 use crate::proxy::{Proxy, BEAT};
-use shelfgrade::time::Span;
+use shelfgrade::time::{Point, Span};
 use std::rc::Rc;
 
-// The longest patience of a circuit is three seconds, and killing comes 0.7 s after that.
-const OPEN_FOR: Span = Span::millis(3200);
-const GONE_WITHIN: Span = Span::millis(3600);
+/// Killing comes this long after the signal and the longest patience of any client,
+const KILLED_AFTER: Span = Span::millis(700);
+/// of which no more than this counts, or where the settings do not tell.
+const MOST_PATIENCE: Span = Span::millis(3000);
+
+/// When what happens after the signal: all of it follows from the settings. Guards against a process that is killed
+/// with answers and moves still owed, where clients wait for less than three seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Course {
+    /// What stands goes on until then, and is told to move from then on. Guards against clients coming back where
+    /// nobody listens: where proxies are restarted in turn, the last one may take two seconds to be back.
+    stay_for: Span,
+    /// Nobody is taken from here on, and who still waits is answered.
+    open_for: Span,
+    gone_within: Span,
+}
+
+impl Course {
+    pub fn by(longest_patience: Option<Span>) -> Self {
+        // Enough for last lines to be read and for one more look, beats being a tenth of a second apart.
+        const LAST_WORDS: Span = Span::millis(500);
+        const SPARE: Span = Span::millis(200);
+        let killed = longest_patience.unwrap_or(MOST_PATIENCE).min(MOST_PATIENCE) + KILLED_AFTER;
+        let before = |span: Span| (Point::default() + killed - span).since(Point::default());
+        Course {
+            // What is left then is enough to go one after the other.
+            stay_for: before(LAST_WORDS).times(0.6),
+            open_for: before(LAST_WORDS),
+            gone_within: before(SPARE),
+        }
+    }
+}
 
 impl Proxy {
     pub fn told_to_end(&mut self) {
@@ -21,18 +50,16 @@
     pub fn end_when_done(&mut self, circuits: &[Rc<Circuit>]) {
         // Clients go on coming for a little while after the signal.
         const QUIET_FOR: Span = Span::millis(500);
-        // Guards against clients coming back where nobody listens: where proxies are restarted in turn, the
-        // last one may take two seconds to be back. What is left then is enough to go one after the other.
-        const STAY_FOR: Span = Span::millis(1900);
+        let Course { stay_for, open_for, gone_within } = self.course;
         let now = self.now();
         let Some(past) = self.told_to_end.map(|told| now.since(told)) else { return };
-        if past >= STAY_FOR {
-            let beats_left = OPEN_FOR.as_ms() - past.as_ms();
+        if past >= stay_for {
+            let beats_left = open_for.as_ms() - past.as_ms();
             self.chooser.ends((beats_left / BEAT.as_millis() as f64) as usize, &mut self.hands);
             self.settle();
         }
         let in_stage = |stage| circuits.iter().filter(move |c| c.stage.get() == stage);
-        if past >= OPEN_FOR {
+        if past >= open_for {
             for circuit in in_stage(Stage::Asking) {
                 self.hands.tally.count("forfeited at the end");
                 circuit.answer("ERR", &mut self.hands);
@@ -41,10 +68,56 @@
         let open = in_stage(Stage::Asking).chain(in_stage(Stage::Standing)).next().is_some();
         let leaving = in_stage(Stage::Leaving).any(|c| !c.client.is_over());
         let quiet = past >= QUIET_FOR && now.since(self.last_arrival) >= QUIET_FOR;
-        if past >= GONE_WITHIN || quiet && !open && !leaving {
+        // Guards against leaving who has connected, and has sent nothing yet or half of its line.
+        let owed = self.door.callers().any(|caller| caller.is_owed());
+        if past >= gone_within || quiet && !open && !leaving && !owed {
+            self.last_answers();
             let fellows = self.fellows.take();
             fellows.inspect(|fellows| fellows.leave(self));
             self.stop.stop();
         }
     }
+
+    /// Who is at the door, or still in its queue, is told to come again: a connection closed without a word is a client
+    /// lost. A circuit that comes that late is answered too.
+    fn last_answers(&mut self) {
+        // More than come in the time that all this takes.
+        const AT_MOST: usize = 64;
+        self.course.open_for = Span::default();
+        (0..AT_MOST).for_each(|_| self.accept());
+        for caller in self.door.callers().cloned().collect::<Vec<_>>() {
+            caller.ready(self);
+            if self.door.holds(&caller) {
+                caller.refuse("BUSY", "callers at the end", self);
+            }
+        }
+        for circuit in self.hands.circuits.values().cloned().collect::<Vec<_>>() {
+            if circuit.stage.get() == Stage::Asking {
+                circuit.answer("ERR", &mut self.hands);
+            }
+        }
+    }
+
+    /// Nobody new is taken any more.
+    pub fn has_closed(&self) -> bool {
+        self.told_to_end.is_some_and(|told| self.now().since(told) >= self.course.open_for)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_course_of_the_end_follows_from_the_longest_patience_and_is_over_before_the_killing() {
+        for (patience, killed) in [(Some(300), 1000), (Some(1200), 1900), (Some(4800), 3700), (None, 3700)] {
+            let course = Course::by(patience.map(Span::millis));
+            assert!(course.stay_for < course.open_for && course.open_for < course.gone_within);
+            // A beat, and the time to leave.
+            assert!(course.gone_within + Span::millis(150) < Span::millis(killed), "{course:?}");
+            // Who comes 0.4 s after the signal with the longest patience is answered within it.
+            let last = patience.unwrap_or(3000).min(3000) + 400;
+            assert!(course.open_for + Span::millis(100) <= Span::millis(last), "{course:?}");
+        }
+    }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -3,10 +3,11 @@
 use crate::choosers::Choosers;
 use crate::circuit::{Circuit, Stage};
 use crate::comeback;
-use crate::discovery::{CallFault, Discovery, Follower};
+use crate::discovery::{CallFault, Discovery, Follower, ASKED, PUSHED};
 use crate::door::Door;
 use crate::driver::OnLoop;
 use crate::early::Early;
+use crate::ending::Course;
 use crate::fellows::Fellows;
 use crate::fleet_file::{FleetFault, FleetFile};
 use crate::hands::Hands;
@@ -55,6 +56,7 @@
     pulses_taken: Point,
     /// Since when it has been told to end, and when the last circuit came.
     pub told_to_end: Option<Point>,
+    pub course: Course,
     pub last_arrival: Point,
 }
 
@@ -116,7 +118,7 @@
         hands,
         offerings: start.terms.offerings,
         door,
-        discovery: Discovery::new(start.discovery, seq),
+        discovery: Discovery::new(start.discovery, seq, if pushed { PUSHED } else { ASKED }, start.seed),
         early: match &fleet {
             Some(fleet) => Early::until_the_return_serves(now, fleet.list_wait),
             None if pushed => Early::until_the_list_is_heard(now),
@@ -129,6 +131,7 @@
         stop: events.get_signal(),
         pulses_taken: now,
         told_to_end: None,
+        course: Course::by(start.terms.longest_patience),
         last_arrival: now,
     };
     // With fellows, what is known from before is for the return to judge.
@@ -184,6 +187,7 @@
             weak.upgrade().inspect(|circuit| circuit.ready(proxy));
         });
         self.hands.circuits.insert(circuit.id, circuit.clone());
+        self.discovery.clone().look(self);
         if circuit.is_taken_over() {
             self.hands.take_over(&circuit);
         } else {
@@ -315,7 +319,9 @@
         let moves = self.discovery.clone().move_to(start.discovery, self);
         log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
         if moves {
-            self.chooser.list_lost(&mut self.hands);
+            // What the new one has counts as told so long after the signal.
+            const COUNTS_AFTER: Span = Span::millis(4000);
+            self.chooser.list_lost(self.now() + COUNTS_AFTER, &mut self.hands);
             self.settle();
         }
     }
@@ -356,10 +362,10 @@
         self.settle();
     }
 
-    fn list_silent(&mut self, fault: &CallFault) {
+    fn list_silent(&mut self, fault: &CallFault, due: Point) {
         log::warn!("{fault}");
         self.hands.tally.count("list calls silent");
-        self.chooser.list_lost(&mut self.hands);
+        self.chooser.list_lost(due, &mut self.hands);
         self.settle();
     }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -142,7 +142,11 @@
     pub fn hear_server(&self, proxy: &mut Proxy) -> bool {
         let Some(connect) = self.connect.borrow().clone() else { return false };
         if connect.phase.get() == Phase::Dialling {
-            match connect.socket.is_up() {
+            let up = connect.socket.is_up();
+            if matches!(up, Ok(true)) {
+                proxy.discovery.clone().look(proxy);
+            }
+            match up {
                 Ok(false) => return false,
                 Ok(true) if self.may_begin(&connect) => {
                     let line = self.opening.for_server(connect.gives_up.since(proxy.now()));
--- /dev/null
+++ b/crates/proxy/tests/sockets/crossing.rs
@@ -0,0 +1,88 @@
+//! Stories of two things that happen between two turns of the loop, in either order: both are made to wait while the
+//! program stands still, and are found at once when it goes on.
+
+use crate::stand::{list, Place, Program, USUAL};
+use rustix::process::Signal;
+
+/// The news lay unread while the first byte was written: told before, it was sent all the same.
+#[test]
+fn nothing_is_sent_to_a_server_whose_drain_was_told_as_its_connect_came_up() {
+    for news_first in [true, false] {
+        let (clogged, _first) = Place::clogged("s1");
+        let program = Program::start(USUAL, &[&clogged]);
+        let (mut watch, _) = program.discovery.called();
+        let mut client = program.opens("lift-1", ",d=6000");
+        assert!(client.is_quiet(), "its connect is on the way");
+        program.stands_still();
+        let mut tell = || {
+            watch.say(&list(8, false, &[clogged.entry("terminating")]));
+        };
+        if news_first {
+            tell();
+        }
+        // The system tries again by itself.
+        let _held = clogged.accept();
+        let mut late = clogged.accept();
+        if !news_first {
+            tell();
+        }
+        program.goes_on();
+        assert_eq!(late.line(), "", "news first: {news_first}");
+        assert!(client.line().starts_with("BUSY "), "never sent, so another try is harmless");
+    }
+}
+
+/// The connect to a server that had been told to drain cost it a connection for nothing.
+#[test]
+fn a_circuit_that_comes_together_with_news_is_placed_by_the_news() {
+    for news_first in [true, false] {
+        let (old, new) = (Place::new("s1"), Place::new("s2"));
+        let program = Program::start(USUAL, &[&old]);
+        let (mut watch, _) = program.discovery.called();
+        program.stands_still();
+        let mut tell = || {
+            watch.say(&list(8, false, &[old.entry("terminating"), new.entry("in_service")]));
+        };
+        if news_first {
+            tell();
+        }
+        let mut client = program.opens("lift-1", ",d=3000");
+        if !news_first {
+            tell();
+        }
+        program.goes_on();
+        let _server = new.serve();
+        assert_eq!(client.line(), "UP 0123");
+        assert!(old.try_accept().is_none(), "news first: {news_first}");
+    }
+}
+
+/// What the old discovery had written was dropped unread with its connection.
+#[test]
+fn what_an_old_discovery_wrote_before_the_signal_to_leave_it_is_gone_by() {
+    for news_first in [true, false] {
+        let (old, new) = (Place::new("s1"), Place::new("s2"));
+        let program = Program::start(USUAL, &[&old]);
+        let (mut watch, _) = program.discovery.called();
+        let next = Place::new("discovery");
+        program.stands_still();
+        let mut tell = || {
+            watch.say(&list(8, false, &[old.entry("terminating"), new.entry("in_service")]));
+        };
+        if news_first {
+            tell();
+        }
+        program.reads_again(&program.text_with(&next));
+        if !news_first {
+            tell();
+        }
+        program.goes_on();
+        // Asked, and in no hurry to answer.
+        let _call = next.called();
+        let mut client = program.opens("lift-1", ",d=3000");
+        let _server = new.serve();
+        assert_eq!(client.line(), "UP 0123", "news first: {news_first}");
+        assert!(old.try_accept().is_none());
+        program.signal(Signal::TERM);
+    }
+}
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,5 +1,7 @@
 //! Stories of the program on sockets, one for each thing that could go wrong there.
 
+mod crossing;
+mod ending;
 mod faults;
 mod life;
 mod listing;
@@ -8,3 +10,4 @@
 mod passing;
 mod peers;
 mod stand;
+mod watches;
--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Far longer than anything here takes.
@@ -183,6 +184,13 @@
     pub balancers: &'static str,
     /// How the list comes.
     pub discovery: &'static str,
+    /// The longest that a client waits, and how many connects it may have.
+    pub patience_ms: u64,
+    pub connects: u64,
+    /// How long it may go without asking for the list.
+    pub must_ask_ms: u64,
+    /// For all that is left to chance.
+    pub seed: &'static str,
 }
 
 pub const USUAL: Terms = Terms {
@@ -195,6 +203,10 @@
     quota: "0",
     balancers: "null",
     discovery: "subscribe",
+    patience_ms: 3000,
+    connects: 3,
+    must_ask_ms: 1500,
+    seed: "8c1f30d27a5be964",
 };
 
 /// The list is pushed, by an agent that is watched.
@@ -204,7 +216,7 @@
     pub child: Child,
     log: BufReader<ChildStderr>,
     pub address: SocketAddr,
-    pub discovery: Place,
+    pub discovery: Arc<Place>,
     config: std::path::PathBuf,
     pub text: String,
 }
@@ -212,18 +224,23 @@
 impl Program {
     /// Starts it with these servers known.
     pub fn start(terms: Terms, known: &[&Place]) -> Self {
-        let discovery = Place::new("discovery");
+        Self::start_before(Arc::new(Place::new("discovery")), terms, known)
+    }
+
+    /// Starts it before a discovery that others may ask too.
+    pub fn start_before(discovery: Arc<Place>, terms: Terms, known: &[&Place]) -> Self {
         let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
-        let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, discovery: how } =
-            terms;
+        let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, .. } = terms;
+        let Terms { discovery: how, patience_ms, connects, must_ask_ms, seed, .. } = terms;
         let settings = format!(
-            r#"{{"balancers":{balancers},"discovery":"{how}","offerings":[{{"name":"alarm","idempotency":"{effect}"}}],
-            "bounds":{{"most_connects":3,"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
-            "invariants":{{"overload_factor":4,"must_ask_in_ms":1500}},
+            r#"{{"balancers":{balancers},"discovery":"{how}","offerings":[{{"name":"alarm","idempotency":"{effect}",
+            "patience_ms":{patience_ms}}}],
+            "bounds":{{"most_connects":{connects},"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
+            "invariants":{{"overload_factor":4,"must_ask_in_ms":{must_ask_ms}}},
             "extra":{{"message_aim_ms":[{aim_ms}],"tells_delay":{tells_delay},"tenant_quota_connections":[{quota}]}}}}"#
         );
         let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"{seed}",
             "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
             "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
             discovery.address,
@@ -298,7 +315,19 @@
         line
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Has it stand still; what happens until `goes_on` finds it all at once.
+    pub fn stands_still(&self) {
+        self.signal(Signal::STOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let stopped = || std::fs::read_to_string(&stat).unwrap().contains(") T ");
+        within(LONG, || stopped().then_some(()));
+    }
+
+    pub fn goes_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    pub fn signal(&self, signal: Signal) {
         rustix::process::kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -82,6 +82,7 @@
     #[serde(default)]
     window_ms: Amount,
     soft_limit_ms: Option<Amount>,
+    patience_ms: Option<Amount>,
     #[serde(default)]
     benefit: Amount,
 }
@@ -158,6 +159,8 @@
     pub warm_up: Span,
     /// The longest that a client stays away when told to.
     pub most_pause: Span,
+    /// The longest that any client waits for its connection; none where an offering does not tell.
+    pub longest_patience: Option<Span>,
     /// A connection that is not established within this has failed; none where the terms leave it open.
     pub dial_time_out: Option<Span>,
     /// The list is pushed: what its service has counts as told, whether or not it was heard.
@@ -192,6 +195,8 @@
     let owed =
         offerings.iter().map(|class| (class.soft_limit_ms.map(|l| Span::from_ms(l.0)), class.benefit.0));
     let owed = owed.collect();
+    let patience = offerings.iter().map(|class| class.patience_ms.map(|p| Span::from_ms(p.0)));
+    let longest_patience = patience.collect::<Option<Vec<_>>>().and_then(|all| all.into_iter().max());
     let (span, most_pause) = (warm_up.cold_span, Span::from_ms(bounds.max_retry_after_ms.0));
     let known = offerings.iter().enumerate().map(|(i, class)| Offering {
         effect: match class.idempotency {
@@ -217,6 +222,7 @@
         customers: customers.into_iter().map(|c| (c.name, c.share.0)).collect(),
         warm_up: span,
         most_pause,
+        longest_patience,
         dial_time_out: Some(bounds.dial_timeout_ms.0).filter(|ms| *ms > 0.0).map(Span::from_ms),
         list_is_pushed: must_ask_in.is_none(),
         tells_delay: extra.tells_delay,
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -57,7 +57,8 @@
     /// Where the list must be asked for: how long a proxy may go without asking.
     must_ask_in: Option<Span>,
     asks_at: Option<Point>,
-    list_failures: u32,
+    /// How many calls for it have failed in a row, and when what a lost watch may miss counts as told.
+    list_calls: (u32, Point),
     /// When to look round next, and whether that probes.
     looks_at: Option<(Point, bool)>,
     /// Circuits that wait for a sign of life, and until when.
@@ -78,15 +79,14 @@
         warm_up: WarmUp,
     ) -> Self {
         let shelf = Rc::new(Shelf::new(most_connects, seed, warm_up.proxies));
-        let message_limits = offerings.iter().filter_map(|o| o.message_limit);
-        let message_limit = message_limits.min().unwrap_or(Span::millis(100));
+        let message_limit = offerings.iter().filter_map(|o| o.message_limit).min();
         Chooser {
-            message_limit,
+            message_limit: message_limit.unwrap_or(Span::millis(100)),
             offerings,
             most_pause,
             must_ask_in,
             asks_at: None,
-            list_failures: 0,
+            list_calls: (0, Point::NEVER),
             looks_at: None,
             hailing: Vec::new(),
             stages: [
@@ -107,21 +107,21 @@
 
     /// Lines of the server list; a server absent from a `whole` list is gone.
     pub fn listed(&mut self, lines: &[Listed], whole: bool, now: Point) {
-        self.list_failures = 0;
+        self.list_calls = (0, Point::NEVER);
         self.shelf.follow(lines, whole, now);
         self.shelf.set_half_lives();
     }
 
     /// The watch has fallen silent, or another service gives the list from now on: it is asked at once, whatever
-    /// failed before. Guards against what a silent watch misses counting as told while a fleet waits its turns.
-    pub fn list_lost(&mut self, host: &mut dyn Host) {
-        self.list_failures = 0;
+    /// failed before, and news is wanted by `due`, when what was missed counts as told.
+    pub fn list_lost(&mut self, due: Point, host: &mut dyn Host) {
+        self.list_calls = (0, due.min(self.list_calls.1));
         host.subscribe();
     }
 
     /// A call for the list has failed, or the subscription has broken.
     pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
-        self.list_failures += 1;
+        self.list_calls.0 += 1;
         self.ask_later(now, host);
     }
 
@@ -189,15 +189,17 @@
         const LEAST: Span = Span::millis(200);
         // Of 40 and 80 ms a hundred proxies did as well with either; three ask about as they always did.
         const EACH: Span = Span::millis(40);
+        let (failures, due) = self.list_calls;
         // A pushed list is told by an agent of this proxy's own, whom no other proxy asks.
-        let most = self.must_ask_in.map_or(Span::default(), |within| within.times(0.8));
-        if self.must_ask_in.is_none() && self.list_failures < 2 {
+        let most = self.must_ask_in.unwrap_or_default().times(0.8);
+        if self.must_ask_in.is_none() && failures < 2 {
             return host.subscribe();
         }
-        let spread = EACH.times(self.shelf.proxies * f64::from(1u32 << self.list_failures.min(8)));
+        // Guards against a pause after a refusal that outlasts that time; from then on it is asked twice a second.
+        let most = most.min(due.since(now).max(LEAST.times(4.0)).times(0.5));
+        let spread = EACH.times(self.shelf.proxies * f64::from(1u32 << failures.min(8)));
         let pause = LEAST + spread.min(most).times(self.shelf.luck());
-        self.asks_at = Some(now + pause);
-        host.wake(now + pause);
+        host.wake(*self.asks_at.insert(now + pause));
     }
 
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
--- a/tests/stories/listing.rs
+++ b/tests/stories/listing.rs
@@ -37,3 +37,39 @@
     assert!((0..5000).step_by(250).all(|from| in_second(from) <= 40), "{pauses:?}");
     assert!(pauses.iter().all(|pause| *pause < MUST_ASK_IN));
 }
+
+/// Watches that fall silent together are asked for anew at once, and most calls are refused: the pause after that was
+/// spread over up to eight seconds in a large fleet, where as many as four were left.
+#[test]
+fn after_a_silent_watch_no_pause_outlasts_half_of_what_is_left_until_its_news_counts_as_told() {
+    for seed in 0..200 {
+        let mut proxy = Proxy::among(300, None, seed, &TWELVE.map(server));
+        let due = proxy.now + Span::millis(3700);
+        proxy.chooser.list_lost(due, &mut proxy.notes);
+        for _ in 0..3 {
+            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            let (pause, left) =
+                (proxy.notes.alarms.last().expect("an alarm").since(proxy.now), due.since(proxy.now));
+            // And two tenths of a second.
+            assert!(pause <= left.times(0.5) + Span::millis(200), "{pause:?} of {left:?}");
+            proxy.now = proxy.now + pause;
+        }
+        assert!(proxy.now < due, "three refusals leave time for another call");
+        // A second silence puts it off no further, and past due it is asked for twice a second.
+        proxy.chooser.list_lost(due + Span::millis(9000), &mut proxy.notes);
+        proxy.now = due;
+        for _ in 0..9 {
+            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            let pause = proxy.notes.alarms.last().expect("an alarm").since(proxy.now);
+            assert!(pause <= Span::millis(600), "{pause:?}");
+            proxy.now = proxy.now + pause;
+        }
+        // With news in hand calls are spread again.
+        proxy.chooser.listed(&[], false, proxy.now);
+        let later = |proxy: &mut Proxy| {
+            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            proxy.notes.alarms.last().expect("an alarm").since(proxy.now)
+        };
+        assert!((0..20).any(|_| later(&mut proxy) > Span::millis(1500)));
+    }
+}
