A server that closed before the first line was written has not run; crossings of clients who leave

A connection that its server had ended before a byte was written was written to all the same, and the break then counted as one after the first line: what must never run twice was forfeited though nothing can have run. Now it is looked at first (`Socket::has_left`), and the connect counts as one that could not be made.

One property test on the decisions (books.rs): 300 random orders of arrivals, connects that fail at once or late, signs of life, departures, moves, strain and lists; one final answer each, no connect after a client left or to a server that drains as heard, and nothing left on the books.

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -192,9 +192,11 @@
     }
 
     /// Guards against something new at a server that was listed as draining, or went, while its connect came
-    /// up: nothing is sent then, which proves that nothing ran.
+    /// up, and against a line for one that has closed the connection by now: nothing is sent then, which proves that
+    /// nothing ran.
     fn may_begin(&self, connect: &Connect) -> bool {
-        connect.server.standing.get() == Standing::Active || self.is_taken_over()
+        let wanted = connect.server.standing.get() == Standing::Active || self.is_taken_over();
+        wanted && !connect.socket.has_left()
     }
 
     fn current(&self, connect: &Rc<Connect>) -> bool {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Whether the peer has ended, with nothing sent that is still to be read.
+    pub fn has_left(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Ok(0))
+    }
+
     /// Reads once into the ring; nothing where there is nothing now, no room, or nothing any more.
     pub fn read(&self, ring: &mut Ring) -> usize {
         if self.ended.get().is_some() || ring.is_full() {
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod crossing;
 mod ending;
 mod faults;
+mod leaving;
 mod life;
 mod listing;
 mod migration;
--- /dev/null
+++ b/src/books.rs
@@ -0,0 +1,22 @@
+//! What the decisions have on their books: for a host that wants to see that nothing is left over.
+
+use crate::choice::Chooser;
+
+/// Connects that wait for a word, connections that stand, and circuits that are neither answered nor over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Books {
+    pub out: usize,
+    pub held: usize,
+    pub circuits: usize,
+}
+
+impl Chooser {
+    pub fn books(&self) -> Books {
+        let servers = self.shelf.servers.borrow();
+        Books {
+            out: servers.iter().map(|s| s.waiting.get() as usize).sum(),
+            held: servers.iter().map(|s| s.held.borrow().len()).sum(),
+            circuits: self.circuits.len(),
+        }
+    }
+}
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -65,7 +65,7 @@
     hailing: Vec<(Point, Weak<Circuit>)>,
     stages: [Box<dyn Stage>; 4],
     /// The door: every circuit unanswered, standing or with a connect still out.
-    circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    pub(crate) circuits: BTreeMap<CircuitId, Rc<Circuit>>,
 }
 
 impl Chooser {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 //! assert_eq!(host.0, ["circuit 1 to 192.0.2.1:80"]);
 //! ```
 
+pub mod books;
 pub mod choice;
 pub mod handover;
 pub mod host;
--- /dev/null
+++ b/tests/stories/books.rs
@@ -0,0 +1,272 @@
+//! Random orders of all that can happen to circuits, connects, signs of life and the list: one final answer each, no
+//! connect after the client left, none to a server that drains as heard by then, and nothing left on the books.
+
+use crate::fake::*;
+use nanorand::{Rng, WyRand};
+use shelfgrade::books::Books;
+use shelfgrade::choice::Chooser;
+use shelfgrade::host::*;
+use shelfgrade::time::{Point, Span};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// It waits for a sign of life.
+    Waiting,
+    Out(ServerId),
+    Standing(ServerId),
+    Over,
+}
+
+/// A host that holds the decisions to the rules with each call, and answers some connects at once.
+struct Model {
+    luck: WyRand,
+    circuits: BTreeMap<u64, (Stage, usize)>,
+    list: BTreeMap<ServerId, Standing>,
+    /// Connects that fail before they are begun, told as soon as the module has finished.
+    at_once: VecDeque<u64>,
+    alarms: Vec<Point>,
+    asked: Vec<ServerId>,
+    sent_away: Vec<u64>,
+    may_probe: bool,
+    connects: usize,
+}
+
+impl Model {
+    fn draw(&mut self, of: usize) -> usize {
+        self.luck.generate_range(0..of)
+    }
+
+    fn in_stage(&self, wanted: impl Fn(&Stage) -> bool) -> Vec<u64> {
+        self.circuits.iter().filter(|(_, (stage, _))| wanted(stage)).map(|(id, _)| *id).collect()
+    }
+
+    fn one_of(&mut self, wanted: impl Fn(&Stage) -> bool) -> Option<u64> {
+        let all = self.in_stage(wanted);
+        (!all.is_empty()).then(|| all[self.draw(all.len())])
+    }
+
+    fn becomes(&mut self, circuit: u64, stage: Stage) -> Stage {
+        std::mem::replace(&mut self.circuits.get_mut(&circuit).expect("a circuit that came").0, stage)
+    }
+
+    fn answered(&mut self, circuit: CircuitId) {
+        let was = self.becomes(circuit.0, Stage::Over);
+        assert_eq!(was, Stage::Waiting, "answered with nothing out: {circuit:?}");
+        let answers = &mut self.circuits.get_mut(&circuit.0).expect("a circuit").1;
+        *answers += 1;
+        assert_eq!(*answers, 1, "one final answer: {circuit:?}");
+    }
+}
+
+impl Host for Model {
+    fn connect(&mut self, circuit: CircuitId, server: &ServerId, _: Span) {
+        assert_eq!(self.list.get(server), Some(&Standing::Active), "{circuit:?} to {server}");
+        let was = self.becomes(circuit.0, Stage::Out(server.clone()));
+        assert_eq!(was, Stage::Waiting, "one connect at a time, and none for who has left: {circuit:?}");
+        self.connects += 1;
+        if self.draw(8) == 0 {
+            self.at_once.push_back(circuit.0);
+        }
+    }
+    fn push_back(&mut self, circuit: CircuitId, _: Span) {
+        self.answered(circuit);
+    }
+    fn forfeit(&mut self, circuit: CircuitId) {
+        self.answered(circuit);
+    }
+    fn send_away(&mut self, circuit: CircuitId) {
+        assert!(matches!(self.circuits[&circuit.0].0, Stage::Standing(_)), "{circuit:?}");
+        self.sent_away.push(circuit.0);
+    }
+    fn subscribe(&mut self) {}
+    fn probe(&mut self, server: &ServerId) -> bool {
+        self.asked.extend(self.may_probe.then(|| server.clone()));
+        self.may_probe
+    }
+    fn wake(&mut self, at: Point) {
+        self.alarms.push(at);
+    }
+}
+
+struct Play {
+    chooser: Chooser,
+    model: Model,
+    now: Point,
+    last: u64,
+}
+
+impl Play {
+    fn begin(seed: u64) -> Self {
+        // Few proxies, many that see little and ask for signs of life, and many that may not ask.
+        let proxies = [3, 300, 300][seed as usize % 3];
+        let list = TWELVE.map(server);
+        let Proxy { chooser, now, .. } = Proxy::among(proxies, Some(8.0), seed, &list);
+        let model = Model {
+            luck: WyRand::new_seed(seed),
+            circuits: BTreeMap::new(),
+            list: list.iter().map(|line| (line.server.clone(), line.standing)).collect(),
+            at_once: VecDeque::new(),
+            alarms: Vec::new(),
+            asked: Vec::new(),
+            sent_away: Vec::new(),
+            may_probe: seed % 3 < 2,
+            connects: 0,
+        };
+        let mut play = Play { chooser, model, now, last: 0 };
+        play.chooser.look_round(seed.is_multiple_of(2), now, &mut play.model);
+        play
+    }
+
+    fn ended(&mut self, circuit: u64, ending: Ending, done: bool) {
+        self.model.becomes(circuit, if done { Stage::Over } else { Stage::Waiting });
+        self.chooser.ended(CircuitId(circuit), ending, done, self.now, &mut self.model);
+    }
+
+    /// As the host does once the module has finished.
+    fn settles(&mut self) {
+        while let Some(circuit) = self.model.at_once.pop_front() {
+            let ending = [Ending::Moot, Ending::Unreachable][self.model.draw(2)];
+            self.ended(circuit, ending, false);
+        }
+        for circuit in std::mem::take(&mut self.model.sent_away) {
+            if matches!(self.model.circuits[&circuit].0, Stage::Standing(_)) {
+                self.ended(circuit, Ending::CalledOff, true);
+            }
+        }
+    }
+
+    fn leaves(&mut self, circuit: u64) {
+        self.model.becomes(circuit, Stage::Over);
+        self.chooser.left(CircuitId(circuit));
+        self.ended(circuit, Ending::CalledOff, true);
+    }
+
+    fn arrives(&mut self) {
+        self.last += 1;
+        let (key, group) = (format!("k{}", self.model.draw(40)), format!("g{}", self.model.draw(5)));
+        let patience = self.model.draw(2500) as u64;
+        let arrival = Arrival {
+            circuit: CircuitId(self.last),
+            offering: [Some(REPLAYABLE), Some(SINGLE_USE), Some(REFERENCED), None][self.model.draw(4)],
+            group: (self.model.draw(3) > 0).then_some(&*group),
+            patience_ends: self.now + Span::millis(patience),
+            mid_flow: self.model.draw(5) == 0,
+            returned: self.model.draw(3) == 0,
+            ..plain(&key)
+        };
+        self.model.circuits.insert(self.last, (Stage::Waiting, 0));
+        self.chooser.arrived(&arrival, self.now, &mut self.model);
+    }
+
+    fn comes_back(&mut self, circuit: u64) {
+        let endings = [
+            Ending::Errored,
+            Ending::TurnedAway,
+            Ending::TimedOut,
+            Ending::Unreachable,
+            Ending::Broken,
+            Ending::CalledOff,
+        ];
+        match self.model.draw(endings.len() * 2) {
+            i if i < endings.len() => self.ended(circuit, endings[i], false),
+            _ => {
+                let Stage::Out(server) = self.model.circuits[&circuit].0.clone() else { return };
+                self.model.becomes(circuit, Stage::Standing(server));
+                self.chooser.stands(CircuitId(circuit), self.now);
+            }
+        }
+    }
+
+    fn list_changes(&mut self) {
+        let id = TWELVE[self.model.draw(TWELVE.len())];
+        let standing = [Standing::Active, Standing::Active, Standing::Draining, Standing::Gone];
+        let standing = standing[self.model.draw(standing.len())];
+        let started = (self.model.draw(4) == 0).then_some(self.now);
+        self.model.list.insert(id.into(), standing);
+        self.chooser.listed(&[Listed { standing, started, ..server(id) }], false, self.now);
+    }
+
+    fn step(&mut self) {
+        match self.model.draw(12) {
+            0..=2 => self.arrives(),
+            3..=4 => {
+                if let Some(circuit) = self.model.one_of(|s| matches!(s, Stage::Out(_))) {
+                    self.comes_back(circuit);
+                }
+            }
+            5 => {
+                if let Some(circuit) = self.model.one_of(|s| matches!(s, Stage::Out(_) | Stage::Waiting)) {
+                    self.leaves(circuit);
+                }
+            }
+            6 => {
+                if let Some(circuit) = self.model.one_of(|s| matches!(s, Stage::Standing(_))) {
+                    let ending = [Ending::Finished, Ending::Broken, Ending::CalledOff][self.model.draw(3)];
+                    self.ended(circuit, ending, true);
+                }
+            }
+            7 => self.list_changes(),
+            8 => {
+                let asked = std::mem::take(&mut self.model.asked);
+                for server in asked {
+                    let took = Span::millis(self.model.draw(400) as u64);
+                    self.chooser.probed(&server, took, self.now, &mut self.model);
+                    self.settles();
+                }
+            }
+            9 => {
+                if let Some(circuit) = self.model.one_of(|s| matches!(s, Stage::Standing(_))) {
+                    let took = Span::millis(self.model.draw(4000) as u64);
+                    self.chooser.messages_take(CircuitId(circuit), took, self.now, &mut self.model);
+                }
+            }
+            10 if self.model.draw(60) == 0 => self.chooser.ends(3, &mut self.model),
+            _ => self.time_passes(),
+        }
+        self.settles();
+    }
+
+    fn time_passes(&mut self) {
+        self.now = self.now + Span::millis(self.model.draw(300) as u64);
+        let now = self.now;
+        let due = self.model.alarms.extract_if(.., |at| *at <= now).count();
+        if due > 0 {
+            self.chooser.woke(now, &mut self.model);
+        }
+    }
+
+    /// Whatever is left comes to its end.
+    fn winds_up(&mut self) {
+        self.now = self.now + Span::millis(5000);
+        self.chooser.woke(self.now, &mut self.model);
+        self.settles();
+        while let Some(circuit) = self.model.one_of(|s| matches!(s, Stage::Out(_))) {
+            self.ended(circuit, Ending::TimedOut, false);
+            self.settles();
+        }
+        for circuit in self.model.in_stage(|s| matches!(s, Stage::Standing(_))) {
+            self.ended(circuit, Ending::Finished, true);
+        }
+    }
+}
+
+#[test]
+fn whatever_the_order_each_circuit_has_one_end_and_nothing_is_left_on_the_books() {
+    let (mut connects, mut answers, mut stood) = (0, 0, 0);
+    for seed in 0..300 {
+        let mut play = Play::begin(seed);
+        for _ in 0..400 {
+            play.step();
+            stood = stood.max(play.chooser.books().held);
+        }
+        play.winds_up();
+        assert_eq!(play.chooser.books(), Books::default(), "seed {seed}");
+        let open = play.model.in_stage(|s| *s != Stage::Over);
+        assert!(open.is_empty(), "seed {seed}: never answered: {open:?}");
+        connects += play.model.connects;
+        answers += play.model.circuits.values().map(|(_, answers)| answers).sum::<usize>();
+    }
+    // The plays are no empty ones.
+    assert!(connects > 5000 && answers > 2000 && stood > 5, "{connects} {answers} {stood}");
+}
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -1,6 +1,7 @@
 //! One short story for each failure met.
 
 mod answers;
+mod books;
 mod cold;
 mod fake;
 mod gathering;
