--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -75,8 +75,9 @@
     /// Reads a line whole or not at all. Guards against sending on what a server cannot use: the errors that
     /// it answers would count against its health. Fields never heard of pass, if they are well formed.
     pub fn parse(line: &str, offerings: &[String]) -> Option<Self> {
-        // An hour: more is no patience, and keeps clear of overflows.
-        const LONGEST_MS: f64 = 3_600_000.0;
+        // As many as 32 bits hold, which keeps clear of overflows. Guards against refusing what was open before the
+        // start: where it has no end, its wait is 4294967 ms.
+        const LONGEST_MS: f64 = u32::MAX as f64;
         let parts: Vec<_> = line.splitn(5, ' ').collect();
         let ["OPEN", id, key, fields] = parts[..] else { return None };
         let id = (id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit())).then_some(id)?;
@@ -142,6 +143,8 @@
         assert_eq!(open.for_server(Span::from_ms(730.9)), line.replace("2000", "730") + "\r\n");
         assert!(parse(&format!("{HEAD} c=chat,d=1800.5,mid=1")).expect("good").mid_flow);
         assert_eq!(parse(&format!("{HEAD} c=chat,d=9,at=s-1")).expect("good").at.as_deref(), Some("s-1"));
+        let endless = parse(&format!("{HEAD} c=chat,d=4294967,at=s-1")).expect("good");
+        assert_eq!(endless.patience, Span::millis(4_294_967));
     }
 
     /// Each of these would be answered with an error by every server that it was sent to.
@@ -177,8 +180,19 @@
             "c=chat,d=9,at=s,mid=1",
             "c=chat,d=9,at=",
         ];
-        let bad_waits =
-            ["", "-1", "+1", "NaN", "inf", "soon", "1e3", "1.2.3", ".", "3600001", "99999999999999999999999"];
+        let bad_waits = [
+            "",
+            "-1",
+            "+1",
+            "NaN",
+            "inf",
+            "soon",
+            "1e3",
+            "1.2.3",
+            ".",
+            "4294967296",
+            "99999999999999999999999",
+        ];
         let lines = bad_heads.iter().map(|line| line.to_string());
         let lines = lines.chain(bad_fields.iter().map(|fields| format!("{HEAD} {fields}")));
         for line in lines.chain(bad_waits.iter().map(|wait| format!("{HEAD} c=chat,d={wait}"))) {
