--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -41,7 +41,7 @@
     waits: [Span::millis(800), Span::millis(2000)],
     slack: Span::millis(300),
     in_turn: Span::millis(2000),
-    at_once: Span::millis(3000),
+    at_once: Span::millis(2500),
     dial: Span::millis(1000),
 };
 
--- a/crates/proxy/tests/sockets/crossing.rs
+++ b/crates/proxy/tests/sockets/crossing.rs
@@ -1,8 +1,9 @@
 //! Stories of two things that happen between two turns of the loop, in either order: both are made to wait while the
 //! program stands still, and are found at once when it goes on.
 
-use crate::stand::{list, Place, Program, USUAL};
+use crate::stand::{list, next_call, Place, Program, USUAL};
 use rustix::process::Signal;
+use std::time::Duration;
 
 /// The news lay unread while the first byte was written: told before, it was sent all the same.
 #[test]
@@ -86,3 +87,52 @@
         program.signal(Signal::TERM);
     }
 }
+
+/// It is another process, under another address, that came back under the id.
+#[test]
+fn a_server_that_is_gone_and_back_under_its_id_gets_nothing_over_a_connect_from_before() {
+    let (clogged, _first) = Place::clogged("s1");
+    let back = Place::new("s1");
+    let program = Program::start(USUAL, &[&clogged]);
+    let (mut watch, _) = program.discovery.called();
+    let mut client = program.opens("lift-1", ",d=6000");
+    assert!(client.is_quiet(), "its connect is on the way");
+    watch.say(&list(8, false, &[clogged.entry("terminated")]));
+    assert!(next_call(&mut watch).contains("index=8"));
+    watch.say(&list(9, false, &[back.entry("in_service")]));
+    assert!(next_call(&mut watch).contains("index=9"));
+    let _held = clogged.accept();
+    let mut late = clogged.accept();
+    assert_eq!(late.line(), "");
+    // Nothing was sent, so it may be sent to what is there now.
+    let _server = back.serve();
+    assert_eq!(client.line(), "UP 0123");
+}
+
+/// The end found time run out and answered, though the server's answer, or the client's end, lay there.
+#[test]
+fn an_answer_that_lies_there_when_the_end_gives_up_waiting_is_the_final_one() {
+    for leaves in [false, true] {
+        let server = Place::new("s1");
+        let mut program = Program::start(USUAL, &[&server]);
+        let mut client = program.opens("lift-1", ",d=30000");
+        let mut at_server = server.accept();
+        assert!(at_server.line().starts_with("OPEN"));
+        program.terminate();
+        while !program.logs().contains("told to end") {}
+        program.stands_still();
+        // Past the moment at which the end answers all that wait.
+        std::thread::sleep(Duration::from_millis(3300));
+        at_server.say("UP 0123\r\n");
+        if leaves {
+            drop(client);
+        } else {
+            program.goes_on();
+            assert_eq!(client.line(), "UP 0123");
+            continue;
+        }
+        program.goes_on();
+        assert!(["", "reset"].contains(&&*at_server.line()));
+        assert_eq!(program.exit().0, Some(0));
+    }
+}
