News that was written but cannot be read is asked for anew at once

"A change of the list is told when discovery has written it": a list refused for one bad line, or broken off in the middle, was asked for again after the pause of a refusal, up to 8.2 s where the list is asked for, while what it said counted as told. Now the first such answer has the whole call made again at once, and the next after 0.2 to 0.6 s until one can be read (`Discovery::missed`, due at once); what says nothing (503, a connection that does not come up) is spread as before. The story in watches.rs fails on the text before: the next call came 4.4 s later.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -78,9 +78,9 @@
     fn listed(&mut self, listing: &Listing) -> bool;
     /// A call was refused or has failed.
     fn list_failed(&mut self, fault: &CallFault);
-    /// A watch, or a call that was taken, has had no answer in its time: it is broken. What it missed counts as told at
-    /// `due`.
-    fn list_silent(&mut self, fault: &CallFault, due: Point);
+    /// A watch, or a call that was taken, has had no answer in its time, or one that is of no use: it is broken, and is
+    /// asked for anew at once. What it missed counts as told at `due`.
+    fn list_missed(&mut self, fault: &CallFault, due: Point);
 }
 
 pub struct Discovery<F: Follower> {
@@ -92,6 +92,8 @@
     /// The call that is out.
     call: RefCell<Option<Exchange>>,
     timer: Cell<Option<RegistrationToken>>,
+    /// The last call was answered, by a list.
+    heard: Cell<bool>,
     pace: Pace,
     chance: RefCell<WyRand>,
 }
@@ -107,6 +109,7 @@
             inbox: RefCell::new(Ring::new(16 << 10)),
             call: RefCell::default(),
             timer: Cell::default(),
+            heard: Cell::default(),
             pace,
             chance: RefCell::new(WyRand::new_seed(seed)),
         })
@@ -167,10 +170,7 @@
             let fault =
                 fault.take().unwrap_or(if up { CallFault::Silent { at } } else { CallFault::NotUp { at } });
             match fault {
-                CallFault::Silent { .. } => {
-                    me.drop_call(follower);
-                    follower.list_silent(&fault, due);
-                }
+                CallFault::Silent { .. } => me.missed(&fault, due, follower),
                 _ => me.failed(&fault, follower),
             }
             TimeoutAction::Drop
@@ -249,6 +249,7 @@
                     self.stop_timer(follower);
                     self.call.take();
                     self.seq.set(Some(listing.seq));
+                    self.heard.set(true);
                     if follower.listed(&listing) {
                         self.call(true, follower);
                     }
@@ -259,12 +260,27 @@
         }
     }
 
-    fn failed(&self, fault: &CallFault, follower: &mut F) {
-        let asked = self.call.borrow().is_some();
+    fn missed(&self, fault: &CallFault, due: Point, follower: &mut F) {
+        self.heard.set(false);
         self.drop_call(follower);
-        if asked {
-            follower.list_failed(fault);
+        follower.list_missed(fault, due);
+    }
+
+    fn failed(&self, fault: &CallFault, follower: &mut F) {
+        let begun = match (fault, &*self.call.borrow()) {
+            (_, None) => return drop(self.socket.take()),
+            (CallFault::Http { source: HttpFault::CutOff, .. }, Some(call)) => call.has_begun(),
+            (CallFault::Http { source: HttpFault::Status(_), .. }, _) => false,
+            (CallFault::Http { .. } | CallFault::List { .. }, _) => true,
+            _ => false,
+        };
+        // Guards against news that was written, and so counts as told, but could not be read, being asked for only
+        // after the pause of a refusal. A discovery that writes nothing else is not asked without end.
+        if begun && self.heard.get() {
+            return self.missed(fault, follower.now(), follower);
         }
+        self.drop_call(follower);
+        follower.list_failed(fault);
     }
 
     /// What was told is not gone by: the next call is for the whole list.
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -66,6 +66,11 @@
         &mut self.come
     }
 
+    /// Whether any of an answer has come that is not all there.
+    pub fn has_begun(&self) -> bool {
+        !self.come.is_empty() || matches!(self.part, Some(Part::Body(_)))
+    }
+
     /// The answer, once it is there; `ended` where nothing more can come.
     pub fn answer(&mut self, ended: bool) -> Result<Option<Answer>, HttpFault> {
         if self.come.len() + self.body.len() > LONGEST_ANSWER {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -362,9 +362,10 @@
         self.settle();
     }
 
-    fn list_silent(&mut self, fault: &CallFault, due: Point) {
+    fn list_missed(&mut self, fault: &CallFault, due: Point) {
         log::warn!("{fault}");
-        self.hands.tally.count("list calls silent");
+        let silent = matches!(fault, CallFault::Silent { .. });
+        self.hands.tally.count(if silent { "list calls silent" } else { "list calls failed" });
         self.chooser.list_lost(due, &mut self.hands);
         self.settle();
     }
--- a/crates/proxy/tests/sockets/watches.rs
+++ b/crates/proxy/tests/sockets/watches.rs
@@ -86,6 +86,37 @@
     }
 }
 
+/// It was asked for again after a refusal's pause, eight seconds in a large fleet, though what is written counts as told.
+#[test]
+fn news_that_cannot_be_read_or_breaks_off_is_asked_for_anew_at_once_but_not_without_end() {
+    let server = Place::new("s1");
+    let program = Program::start(MANY, &[&server]);
+    let (mut call, _) = program.discovery.called();
+    let news = list(8, false, &[server.entry("terminating")]);
+    let unlisted = list(8, false, &[r#"{"host":"s2","health":"in_service"}"#.to_owned()]);
+    for (bad, ends) in [(&*unlisted, false), (&news[..news.len() - 9], true)] {
+        call.say(&list(7, false, &[]));
+        assert!(next_call(&mut call).contains("index=7"));
+        call.say(bad);
+        let written = Instant::now();
+        if ends {
+            call.finish();
+        }
+        call = program.discovery.called().0;
+        assert!(written.elapsed() < Duration::from_millis(150), "{:?}", written.elapsed());
+    }
+    let first = Instant::now();
+    let mut asked = 0;
+    while first.elapsed() < Duration::from_millis(2000) {
+        let _ = std::io::Write::write_all(&mut call.stream, unlisted.as_bytes());
+        call = program.discovery.called().0;
+        asked += 1;
+    }
+    assert!((3..12).contains(&asked), "{asked}");
+    call.say(&news);
+    assert!(next_call(&mut call).contains("index=8"));
+}
+
 /// A call from the outage was given up after three or 4.3 seconds, a dial after one.
 #[test]
 fn a_pushed_list_is_had_at_once_when_its_agent_is_back_though_calls_hung_in_the_outage() {
