Tests: an end or reset is delivered when it is made, whatever else the machine does

Cause: a test that starts a program holds copies of all descriptors between fork and exec, so that another test's close, the last one only then, sent its end late: the client had not left yet. An end is now sent by shutdown, a reset by dissolving the connection; what was sent while the program stood still is delivered before it goes on.

--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -1,6 +1,7 @@
 //! Stand-ins on loopback for clients, servers and discovery, and the program itself.
 
 use rustix::process::{Pid, Signal};
+use rustix::thread::{sched_getcpu, sched_setaffinity, CpuSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -73,7 +74,7 @@
     }
 
     pub fn reset(self) {
-        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        rustix::net::connect_unspec(&self.stream).unwrap();
     }
 
     pub fn finish(&self) {
@@ -81,6 +82,14 @@
     }
 }
 
+impl Drop for Wire {
+    /// Guards against an end that comes late: a program that another test is starting holds all descriptors for a
+    /// moment, and a close is none before the last.
+    fn drop(&mut self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
 /// A server, or discovery: takes connections when the story says so.
 pub struct Place {
     pub name: String,
@@ -315,15 +324,28 @@
         line
     }
 
-    /// Has it stand still; what happens until `goes_on` finds it all at once.
+    /// Has it stand still; what happens until `goes_on`, it finds all at once.
     pub fn stands_still(&self) {
         self.signal(Signal::STOP);
         let stat = format!("/proc/{}/stat", self.child.id());
         let stopped = || std::fs::read_to_string(&stat).unwrap().contains(") T ");
         within(LONG, || stopped().then_some(()));
+        // What this thread sends from here on is delivered in one order: that of one core.
+        let mut one = CpuSet::new();
+        one.set(sched_getcpu());
+        sched_setaffinity(None, &one).unwrap();
     }
 
+    /// Guards against a busy system that delivers an end, a reset or a line only after the program goes on: what goes
+    /// to and fro once, has all that was sent before it delivered.
     pub fn goes_on(&self) {
+        let there = Place::new("there");
+        let mut here = Wire::to(there.address);
+        there.accept().say("and back\r\n");
+        assert_eq!(here.line(), "and back");
+        let mut all = CpuSet::new();
+        (0..CpuSet::MAX_CPU).for_each(|core| all.set(core));
+        sched_setaffinity(None, &all).unwrap();
         self.signal(Signal::CONT);
     }
 
