--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -34,9 +34,10 @@
     dial: Span,
 }
 
-/// Discovery that all proxies ask: with these waits silence is known 2.8 s after a watch was asked for at the latest, which leaves
-/// time for a call that is kept waiting and refused, and for others after it. Another try after a connection that is
-/// not up, or a call that is silent, comes in the four seconds after which a new discovery's list counts as told.
+/// Discovery that all proxies ask: with these waits silence is known 2.8 s after a watch was asked for at the latest,
+/// which leaves time for a call that is kept waiting and refused, and for others after it. Another try after a
+/// connection that is not up, or a call that is silent, comes in the four seconds after which a new discovery's list
+/// counts as told.
 pub const ASKED: Pace = Pace {
     waits: [Span::millis(800), Span::millis(2000)],
     slack: Span::millis(300),
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -41,9 +41,9 @@
 
 impl Proxy {
     pub fn told_to_end(&mut self) {
-        log::info!("told to end, with {} connections", self.hands.circuits.len());
         let now = self.now();
         self.told_to_end.get_or_insert(now);
+        log::info!("told to end, with {} connections", self.hands.circuits.len());
     }
 
     /// Called with each beat: ends when no more circuits come, all that came are answered, and none stands.
