Trials: each harness has an address of loopback of its own, so that two at once do not meet

whatever_the_way_between_them_does_the_rules_hold_and_all_hear_of_a_drain failed once in six runs, beside three other whole test runs: "server 7 drained for 5.7 s when something new came". Cause: ports are chosen for processes and free until these start; another harness on the machine takes them. Of 24 such trials side by side six failed, with "cannot listen on 127.0.0.1:35227 (Address already in use)" in the logs, and clients of one trial at another's servers. Ruled out: load alone (eight side by side all passed, 18 s each). No check is changed.

--- a/crates/trials/src/discovery.rs
+++ b/crates/trials/src/discovery.rs
@@ -24,7 +24,7 @@
 
 impl Discovery {
     pub async fn begin(record: Record) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address on loopback");
+        let listener = TcpListener::bind(crate::own_address()).await.expect("an address on loopback");
         let address = listener.local_addr().expect("the address");
         let discovery = Arc::new(Discovery {
             address,
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -15,3 +15,12 @@
 pub mod rogue;
 pub mod server;
 pub mod trial;
+
+use std::net::SocketAddr;
+
+/// Some port at an address of loopback that only this process uses. Guards against two trials at once on one machine:
+/// a port that is chosen for a process, and free until that starts, was taken by the other's.
+pub fn own_address() -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 | (high & 63), middle, low], 0))
+}
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -58,7 +58,7 @@
         let name = format!("n{index:03}");
         let folder = given.folder.join(&name);
         fs::create_dir_all(folder.join("state")).expect("a folder of its own");
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("an address on loopback");
+        let listener = std::net::TcpListener::bind(crate::own_address()).expect("an address on loopback");
         let listen = listener.local_addr().expect("the address");
         Process { name, index, listen, ahead_ms: 0, child: None, folder }
     }
--- a/crates/trials/src/relay.rs
+++ b/crates/trials/src/relay.rs
@@ -34,23 +34,21 @@
     state: Arc<Mutex<State>>,
 }
 
-fn any() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 impl Relay {
     pub async fn begin(size: usize, seed: u64) -> Self {
         // Processes bind their own addresses: found by asking the system for free ones.
         let mut kept = Vec::new();
         for _ in 0..size {
-            kept.push(UdpSocket::bind(any()).await.expect("an address on loopback"));
+            kept.push(UdpSocket::bind(crate::own_address()).await.expect("an address on loopback"));
         }
         let own: Vec<_> = kept.iter().map(|socket| socket.local_addr().expect("the address")).collect();
         let mut sockets: Vec<Vec<Arc<UdpSocket>>> = Vec::new();
         for _ in 0..size {
             let mut row = Vec::new();
             for _ in 0..size {
-                row.push(Arc::new(UdpSocket::bind(any()).await.expect("an address on loopback")));
+                row.push(Arc::new(
+                    UdpSocket::bind(crate::own_address()).await.expect("an address on loopback"),
+                ));
             }
             sockets.push(row);
         }
--- a/crates/trials/src/rogue.rs
+++ b/crates/trials/src/rogue.rs
@@ -20,7 +20,7 @@
 
 /// Begins such a proxy before these servers; gives its address.
 pub async fn begin(wrong: Wrong, servers: Vec<SocketAddr>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address on loopback");
+    let listener = TcpListener::bind(crate::own_address()).await.expect("an address on loopback");
     let address = listener.local_addr().expect("the address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
--- a/crates/trials/src/server.rs
+++ b/crates/trials/src/server.rs
@@ -68,7 +68,7 @@
 impl Server {
     /// One that has been warm for long.
     pub async fn begin(index: usize, make: Make, record: Record) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address on loopback");
+        let listener = TcpListener::bind(crate::own_address()).await.expect("an address on loopback");
         let address = listener.local_addr().expect("the address");
         let state = State {
             held: 0,
