A change of the list is in hand six seconds after it can be had, whatever call failed

The pause at a start and after a failed call was drawn from up to 0.2 s + 0.8 of must_ask_in_ms: eight seconds with 300 proxies and ten seconds to ask in.

Change: `Chooser::list_failed` has one law for all pauses. The first is drawn from 40 ms a proxy, four seconds at most, less what the failed call was out for; the later ones grow with the time gone by, to 1.4 s from one call's beginning to the next. Nobody asks a second time before all have asked once. A silence still bounds them by what is left until its news is due.

What it costs: a fleet of N that hears nothing asks N/1.4 times a second (214 of 300), N/4 in the seconds after a loss (75 of 300).

Shown: `told.rs`, three stories, all red on the text before (3 proxies 6.2 s, 11.7 s after two refusals; 24 proxies asked twice before all had asked).

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -133,7 +133,7 @@
                     "replace" | "restored" => true,
                     "unavailable" if *list_is_pushed => return Ok(()),
                     "unavailable" => {
-                        chooser.list_failed(now, host);
+                        chooser.list_failed(now, now, host);
                         return Ok(());
                     }
                     _ => bail!("form={form} is unknown"),
--- a/crates/proxy/src/choosers.rs
+++ b/crates/proxy/src/choosers.rs
@@ -81,8 +81,8 @@
         self.common.list_lost(due, host);
     }
 
-    pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
-        self.common.list_failed(now, host);
+    pub fn list_failed(&mut self, since: Point, now: Point, host: &mut dyn Host) {
+        self.common.list_failed(since, now, host);
     }
 
     /// Customers that have decisions of their own now.
--- a/crates/proxy/src/comeback.rs
+++ b/crates/proxy/src/comeback.rs
@@ -78,7 +78,7 @@
         self.hands.tally.complain("lists not taken");
         self.discovery.forget(self);
         let now = self.hands.clock.now();
-        self.chooser.list_failed(now, &mut self.hands);
+        self.chooser.list_failed(now, now, &mut self.hands);
         self.settle();
     }
 
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -77,8 +77,8 @@
 pub trait Follower: OnLoop {
     /// Discovery has told a list; true where it is to be watched on from there.
     fn listed(&mut self, listing: &Listing) -> bool;
-    /// A call was refused or has failed.
-    fn list_failed(&mut self, fault: &CallFault);
+    /// A call that was out since then was refused or has failed.
+    fn list_failed(&mut self, fault: &CallFault, since: Point);
     /// A watch, or a call that was taken, has had no answer in its time, or one that is of no use: it is broken, and is
     /// asked for anew at once. What it missed counts as told at `due`.
     fn list_missed(&mut self, fault: &CallFault, due: Point);
@@ -92,6 +92,8 @@
     inbox: RefCell<Ring>,
     /// The call that is out.
     call: RefCell<Option<Exchange>>,
+    /// When the last call began.
+    began: Cell<Point>,
     timer: Cell<Option<RegistrationToken>>,
     /// The last call was answered, by a list.
     heard: Cell<bool>,
@@ -109,6 +111,7 @@
             request: RefCell::new(Ring::new(512)),
             inbox: RefCell::new(Ring::new(16 << 10)),
             call: RefCell::default(),
+            began: Cell::default(),
             timer: Cell::default(),
             heard: Cell::default(),
             pace,
@@ -139,6 +142,7 @@
             return;
         }
         let began = follower.now();
+        self.began.set(began);
         let (path, wait, more) = match self.seq.get() {
             Some(seq) => {
                 let (part, more) = if goes_on { (1.0, self.pace.slack) } else { (0.4, self.pace.in_turn) };
@@ -281,7 +285,7 @@
             return self.missed(fault, follower.now(), follower);
         }
         self.drop_call(follower);
-        follower.list_failed(fault);
+        follower.list_failed(fault, self.began.get());
     }
 
     /// What was told is not gone by: the next call is for the whole list.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -354,11 +354,11 @@
         true
     }
 
-    fn list_failed(&mut self, fault: &CallFault) {
+    fn list_failed(&mut self, fault: &CallFault, since: Point) {
         log::warn!("{fault}");
         self.hands.tally.count("list calls failed");
         let now = self.now();
-        self.chooser.list_failed(now, &mut self.hands);
+        self.chooser.list_failed(since, now, &mut self.hands);
         self.settle();
     }
 
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -54,11 +54,11 @@
     message_limit: Span,
     most_pause: Span,
     pub(crate) shelf: Rc<Shelf>,
-    /// Where the list must be asked for: how long a proxy may go without asking.
+    /// How long a proxy may go without asking for the list; none where an agent of its own pushes it.
     must_ask_in: Option<Span>,
     asks_at: Option<Point>,
-    /// How many calls for it have failed in a row, and when what a lost watch may miss counts as told.
-    list_calls: (u32, Point),
+    /// Where calls for it fail, when all proxies have asked once; and when what a lost watch may miss counts as told.
+    list_calls: (Option<Point>, Point),
     /// When to look round next, and whether that probes.
     looks_at: Option<(Point, bool)>,
     /// Circuits that wait for a sign of life, and until when.
@@ -86,7 +86,7 @@
             most_pause,
             must_ask_in,
             asks_at: None,
-            list_calls: (0, Point::NEVER),
+            list_calls: (None, Point::NEVER),
             looks_at: None,
             hailing: Vec::new(),
             stages: [
@@ -102,12 +102,12 @@
 
     pub fn start(&mut self, last_held: &[Listed], now: Point, host: &mut dyn Host) {
         self.listed(last_held, true, now);
-        self.ask_later(now, host);
+        self.list_failed(now, now, host);
     }
 
     /// Lines of the server list; a server absent from a `whole` list is gone.
     pub fn listed(&mut self, lines: &[Listed], whole: bool, now: Point) {
-        self.list_calls = (0, Point::NEVER);
+        self.list_calls = (None, Point::NEVER);
         self.shelf.follow(lines, whole, now);
         self.shelf.set_half_lives();
     }
@@ -115,16 +115,10 @@
     /// The watch has fallen silent, or another service gives the list from now on: it is asked at once, whatever
     /// failed before, and news is wanted by `due`, when what was missed counts as told.
     pub fn list_lost(&mut self, due: Point, host: &mut dyn Host) {
-        self.list_calls = (0, due.min(self.list_calls.1));
+        self.list_calls = (None, due.min(self.list_calls.1));
         host.subscribe();
     }
 
-    /// A call for the list has failed, or the subscription has broken.
-    pub fn list_failed(&mut self, now: Point, host: &mut dyn Host) {
-        self.list_calls.0 += 1;
-        self.ask_later(now, host);
-    }
-
     /// The time has come that the host was asked to wake this proxy at.
     pub fn woke(&mut self, now: Point, host: &mut dyn Host) {
         if self.asks_at.take_if(|at| *at <= now).is_some() {
@@ -183,23 +177,28 @@
         }
     }
 
-    /// Guards against all proxies asking in step, after a start or a failed call: what the list's service
-    /// cannot work through in time is given up, but still worked through, before what is asked then.
-    fn ask_later(&mut self, now: Point, host: &mut dyn Host) {
+    /// A call for the list, out since then, has failed, or the service is new. Guards against proxies asking in step, as
+    /// what it cannot do in time is given up, but still done, before what is asked then: all ask before any asks twice.
+    pub fn list_failed(&mut self, since: Point, now: Point, host: &mut dyn Host) {
         const LEAST: Span = Span::millis(200);
         // Of 40 and 80 ms a hundred proxies did as well with either; three ask about as they always did.
         const EACH: Span = Span::millis(40);
-        let (failures, due) = self.list_calls;
-        // A pushed list is told by an agent of this proxy's own, whom no other proxy asks.
-        let most = self.must_ask_in.unwrap_or_default().times(0.8);
-        if self.must_ask_in.is_none() && failures < 2 {
-            return host.subscribe();
-        }
-        // Guards against a pause after a refusal that outlasts that time; from then on it is asked twice a second.
-        let most = most.min(due.since(now).max(LEAST.times(4.0)).times(0.5));
-        let spread = EACH.times(self.shelf.proxies * f64::from(1u32 << failures.min(8)));
-        let pause = LEAST + spread.min(most).times(self.shelf.luck());
-        host.wake(*self.asks_at.insert(now + pause));
+        // What can be had counts as told in six seconds: four of them to spread over, then room for a refusal.
+        const MOST: [Span; 2] = [Span::millis(3800), Span::millis(1400)];
+        let (all_asked, due) = self.list_calls;
+        let time = self.must_ask_in.unwrap_or(LEAST.times(2.5));
+        // Guards against a pause after a refusal that outlasts that time; from then on it is asked thrice a second.
+        let most = due.since(now).max(LEAST.times(4.0)).min(time).times(0.4);
+        let (least, spread) = (now + LEAST.min(most), EACH.times(self.shelf.proxies).min(most));
+        let drawn = (since + spread.min(MOST[0])).since(now);
+        self.list_calls.0 = all_asked.or(Some(least + drawn));
+        let pause = (LEAST + spread.max(now.since(all_asked.unwrap_or(now)))).min(most).min(MOST[1]);
+        let at = match all_asked {
+            None if self.must_ask_in.is_none() => return host.subscribe(),
+            None => least + drawn.times(self.shelf.luck()),
+            Some(all) => all.max(least).max(since + pause),
+        };
+        host.wake(*self.asks_at.insert(at));
     }
 
     fn enter(&mut self, arrival: &Arrival) -> Rc<Circuit> {
--- a/tests/stories/listing.rs
+++ b/tests/stories/listing.rs
@@ -9,7 +9,7 @@
     proxy.lives(400);
     assert_eq!(proxy.notes.subscribed, 1);
     for failures in 1..12 {
-        proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+        proxy.chooser.list_failed(proxy.now, proxy.now, &mut proxy.notes);
         let pause = proxy.notes.alarms.last().expect("an alarm").since(proxy.now);
         assert!(pause > Span::millis(200) && pause < MUST_ASK_IN.times(0.85), "{failures}: {pause:?}");
         proxy.lives(8500);
@@ -47,7 +47,7 @@
         let due = proxy.now + Span::millis(3700);
         proxy.chooser.list_lost(due, &mut proxy.notes);
         for _ in 0..3 {
-            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            proxy.chooser.list_failed(proxy.now, proxy.now, &mut proxy.notes);
             let (pause, left) =
                 (proxy.notes.alarms.last().expect("an alarm").since(proxy.now), due.since(proxy.now));
             // And two tenths of a second.
@@ -59,7 +59,7 @@
         proxy.chooser.list_lost(due + Span::millis(9000), &mut proxy.notes);
         proxy.now = due;
         for _ in 0..9 {
-            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            proxy.chooser.list_failed(proxy.now, proxy.now, &mut proxy.notes);
             let pause = proxy.notes.alarms.last().expect("an alarm").since(proxy.now);
             assert!(pause <= Span::millis(600), "{pause:?}");
             proxy.now = proxy.now + pause;
@@ -67,7 +67,7 @@
         // With news in hand calls are spread again.
         proxy.chooser.listed(&[], false, proxy.now);
         let later = |proxy: &mut Proxy| {
-            proxy.chooser.list_failed(proxy.now, &mut proxy.notes);
+            proxy.chooser.list_failed(proxy.now, proxy.now, &mut proxy.notes);
             proxy.notes.alarms.last().expect("an alarm").since(proxy.now)
         };
         assert!((0..20).any(|_| later(&mut proxy) > Span::millis(1500)));
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -9,4 +9,5 @@
 mod listing;
 mod order;
 mod relief;
+mod told;
 mod trust;
--- /dev/null
+++ b/tests/stories/told.rs
@@ -0,0 +1,152 @@
+//! Stories of the clock by which a change of the list counts as told: six seconds after its service had it and could be
+//! reached, whatever call failed before.
+
+use crate::fake::*;
+use nanorand::{Rng, WyRand};
+use shelfgrade::choice::{Chooser, WarmUp};
+use shelfgrade::time::{Point, Span};
+
+const COUNTS_AFTER: Span = Span::millis(6000);
+/// A call that is taken and worked through has its answer in this time, in its turn among others.
+const ANSWERED_IN: Span = Span::millis(500);
+/// As the program on sockets does: a call may be silent for so long, and a connection may take so long to come up.
+const SILENT_FOR: Span = Span::millis(2800);
+const DIALS_FOR: Span = Span::millis(1000);
+
+fn one_of(proxies: usize, must_ask_in: Option<Span>, seed: u64) -> Proxy {
+    let warm_up = WarmUp {
+        cold_from: 0.3,
+        cold_span: Span::millis(8000),
+        fall_multiple: 3.0,
+        all_hold: None,
+        each_holds: 30.0,
+        proxies: proxies as f64,
+    };
+    let chooser = Chooser::new(seed, Vec::new(), 4, Span::millis(1000), must_ask_in, warm_up);
+    let mut proxy = Proxy::of_four();
+    proxy.notes = Notes::default();
+    proxy.chooser = chooser;
+    proxy
+}
+
+/// Lives until it asks for the list again, and says when; what it asked before is done with.
+fn asks(proxy: &mut Proxy) -> Point {
+    while proxy.notes.subscribed == 0 {
+        let at = proxy.notes.alarms.iter().copied().min().expect("it will ask");
+        proxy.lives(at.since(proxy.now).as_ms().ceil() as u64);
+    }
+    proxy.notes.subscribed = 0;
+    proxy.notes.alarms.clear();
+    proxy.now
+}
+
+/// What becomes of a call that brings nothing; where the service is there by `from`, it refuses nobody any longer.
+fn fails(proxy: &mut Proxy, chance: &mut WyRand, from: Point) {
+    let began = proxy.now;
+    let lasts = |most: Span, chance: &mut WyRand| most.times(f64::from(chance.generate::<f32>()));
+    match chance.generate_range(0..4) {
+        // Refused or reset at once, or kept in turn and then refused: not once it can be reached.
+        0 => proxy.now = began + lasts(Span::millis(30), chance),
+        1 => proxy.now = (began + lasts(Span::millis(2000), chance)).min(from.max(began)),
+        2 => proxy.now = began + DIALS_FOR,
+        _ => {
+            proxy.now = began + SILENT_FOR;
+            return proxy.chooser.list_lost(began + COUNTS_AFTER, &mut proxy.notes);
+        }
+    }
+    proxy.chooser.list_failed(began, proxy.now, &mut proxy.notes);
+}
+
+/// With three hundred proxies and ten seconds to ask in, the pause after a failure, and the one at the start, were up to
+/// eight seconds: a server that had left the list 7.1 s before was sent a circuit.
+#[test]
+fn whatever_failed_before_news_is_in_hand_six_seconds_after_it_can_be_had() {
+    let mut chance = WyRand::new_seed(11);
+    for (proxies, must_ask_in) in
+        [(3, 10_000), (24, 10_000), (300, 10_000), (300, 60_000), (300, 1500), (3800, 10_000), (300, 0)]
+    {
+        for seed in 0..400 {
+            let must_ask_in = Some(Span::millis(must_ask_in)).filter(|time| *time > Span::default());
+            let mut proxy = one_of(proxies, must_ask_in, seed);
+            proxy.now = Point::from_ms(60_000.0);
+            let mut from = proxy.now + Span::millis(20_000).times(f64::from(chance.generate::<f32>()));
+            let restarts = seed % 2 == 0;
+            proxy.chooser.start(&TWELVE.map(server), proxy.now, &mut proxy.notes);
+            if !restarts {
+                // It had the list, and its watch broke after a while.
+                asks(&mut proxy);
+                proxy.chooser.listed(&[], false, proxy.now);
+                from = from.max(proxy.now);
+                fails(&mut proxy, &mut chance, from);
+            }
+            let mut tries = Vec::new();
+            let answered = loop {
+                let asked = asks(&mut proxy);
+                tries.push(asked.since(from).as_ms());
+                if asked >= from {
+                    break asked + ANSWERED_IN;
+                }
+                fails(&mut proxy, &mut chance, from);
+            };
+            assert!(
+                answered.since(from) < COUNTS_AFTER,
+                "{proxies}, {must_ask_in:?}, seed {seed}: {:?} after it could be had, {tries:?}",
+                answered.since(from)
+            );
+        }
+    }
+}
+
+/// Two refusals by a service that has too many callers, each after it kept the caller in turn, leave time for a third try.
+#[test]
+fn a_service_with_too_many_callers_that_refuses_twice_is_asked_a_third_time_in_time() {
+    for proxies in [3, 300] {
+        for seed in 0..200 {
+            let mut proxy = one_of(proxies, Some(MUST_ASK_IN), seed);
+            proxy.chooser.start(&TWELVE.map(server), proxy.now, &mut proxy.notes);
+            // Down for long, and back just as a call was taken.
+            for _ in 0..9 {
+                let began = asks(&mut proxy);
+                proxy.chooser.list_failed(began, began, &mut proxy.notes);
+            }
+            let from = asks(&mut proxy);
+            for _ in 0..2 {
+                let began = proxy.now;
+                proxy.passes(1500);
+                proxy.chooser.list_failed(began, proxy.now, &mut proxy.notes);
+                asks(&mut proxy);
+            }
+            let took = (proxy.now + ANSWERED_IN).since(from);
+            assert!(took < COUNTS_AFTER, "{proxies}, seed {seed}: {took:?}");
+        }
+    }
+}
+
+/// A spread in place of a pause: refused at the start or after a loss that all noticed, nobody asks again before all have
+/// asked once; and a fleet that hears nothing asks no more often, together, than its pauses say.
+#[test]
+fn no_proxy_asks_a_second_time_before_every_other_has_asked_once() {
+    for proxies in [3usize, 24, 300] {
+        let mut calls = Vec::new();
+        for seed in 0..proxies as u64 {
+            let mut proxy = one_of(proxies, Some(MUST_ASK_IN), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            let start = proxy.now;
+            proxy.chooser.start(&TWELVE.map(server), proxy.now, &mut proxy.notes);
+            let mut own = Vec::new();
+            while proxy.now.since(start) < Span::millis(30_000) {
+                let began = asks(&mut proxy);
+                own.push(began.since(start));
+                proxy.chooser.list_failed(began, began, &mut proxy.notes);
+            }
+            calls.push(own);
+        }
+        let last_first = calls.iter().map(|own| own[0]).max().expect("proxies");
+        let first_second = calls.iter().map(|own| own[1]).min().expect("proxies");
+        assert!(last_first <= first_second, "{proxies}: {last_first:?} {first_second:?}");
+        // Once the pauses have their full length: 1.4 s, whatever the number of proxies.
+        let late = Span::millis(20_000)..Span::millis(30_000);
+        let late = calls.iter().flatten().filter(|at| late.contains(at)).count();
+        let a_second = late as f64 / 10.0;
+        assert!(a_second <= proxies as f64 / 1.25, "{proxies}: {a_second}");
+    }
+}
