--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -11,4 +11,5 @@
 mod passing;
 mod peers;
 mod stand;
+mod told;
 mod watches;
