--- a/tests/stories/told.rs
+++ b/tests/stories/told.rs
@@ -150,3 +150,22 @@
         assert!(a_second <= proxies as f64 / 1.25, "{proxies}: {a_second}");
     }
 }
+
+/// Where there is little time to ask in, two tenths of a second and 0.8 of it were longer than that time.
+#[test]
+fn no_pause_is_longer_than_four_fifths_of_the_time_to_ask_in_however_short_that_is() {
+    for (ms, proxies) in [100, 300, 800, 10_000].into_iter().flat_map(|ms| [(ms, 3), (ms, 300)]) {
+        for seed in 0..50 {
+            let mut proxy = one_of(proxies, Some(Span::millis(ms)), seed);
+            let mut last = proxy.now;
+            proxy.chooser.start(&TWELVE.map(server), proxy.now, &mut proxy.notes);
+            for _ in 0..6 {
+                let began = asks(&mut proxy);
+                let pause = began.since(last);
+                assert!(pause <= Span::millis(ms).times(0.8) + Span::millis(1), "{ms}, {proxies}: {pause:?}");
+                last = began;
+                proxy.chooser.list_failed(began, began, &mut proxy.notes);
+            }
+        }
+    }
+}
