--- /dev/null
+++ b/crates/proxy/tests/unit/fleet_file.rs
@@ -0,0 +1,51 @@
+//! Stories of `fleet_file.rs` from within.
+
+use super::*;
+
+const GOOD: &str =
+    "fleet = \"dar\"\nlist_wait_ms = 900\n[fellows]\nn1 = \"127.0.0.1:7401\"\nn0 = \"127.0.0.1:7400\"\n";
+
+fn fault(text: &str) -> String {
+    FleetFile::parse("fleet.toml", text, "n1").err().expect("a fault").to_string()
+}
+
+/// A key that the shipped file explains has to be one that is read.
+#[test]
+fn the_shipped_file_can_be_used_with_its_keys_switched_on() {
+    let shipped = include_str!("../../../../deploy/fleet.toml");
+    let on =
+        shipped.replace("# namespaces_dir =", "namespaces_dir =").replace("# maintenance =", "maintenance =");
+    let file = FleetFile::parse("deploy/fleet.toml", &on, "n2").expect("the shipped file");
+    assert_eq!(file.roster.size(), 3);
+    assert!(file.state_dir.is_some() && file.namespaces_dir.is_some() && file.maintenance.is_some());
+}
+
+#[test]
+fn the_file_is_checked_whole_and_each_fault_says_where_it_is_and_what_to_do() {
+    let file = FleetFile::parse("fleet.toml", GOOD, "n1").expect("a good file");
+    assert_eq!((file.roster.size(), file.addresses[0].port(), file.list_wait), (2, 7400, Span::millis(900)));
+    let faults: [(&str, &str, [&str; 3]); 7] = [
+        (
+            "list_wait_ms",
+            "wait_ms",
+            ["fleet.toml, line 2, column 1", "unknown field", "deploy/fleet.toml explains"],
+        ),
+        ("900", "\"soon\"", ["fleet.toml, line 2, column 16", "invalid type", "correct it there"]),
+        ("900", "90000", ["fleet.toml, list_wait_ms", "90000 where 100 to 10000", "correct it there"]),
+        (
+            "127.0.0.1:7401",
+            "nowhere",
+            ["fleet.toml, line 4, column 6", "invalid socket address", "correct it"],
+        ),
+        ("7401", "7400", ["fleet.toml, fellows", "n0 and n1 have one address", "one of its own"]),
+        ("n1", "n2", ["fleet.toml, fellows", "n1, is not among the fellows", "add it"]),
+        ("fleet = \"dar\"\n", "", ["fleet.toml, line 1", "missing field `fleet`", "correct it there"]),
+    ];
+    for (good, bad, words) in faults {
+        let fault = fault(&GOOD.replace(good, bad));
+        assert!(words.iter().all(|word| fault.contains(word)) && fault.lines().count() == 1, "{fault}");
+    }
+    let other = FleetFile::parse("fleet.toml", &GOOD.replace("n0", "n7"), "n1").expect("a good file");
+    assert!(file.may_follow(&other).is_err_and(|fault| fault.to_string().contains("started anew")));
+    assert!(file.may_follow(&FleetFile { save_every: Span::millis(500), ..file.clone() }).is_ok());
+}
