Cold servers stay within N + 2 x root of N + 2 of what 3 to 300 proxies send

Cause: each proxy drew a cold server's share for itself and forgot what it had sent; and a server that ranks first for many groups got several times the mean, which no proxy sees. The story of three hundred proxies, now held to N + 2 x root of N + 2 in place of 3 x root + 3 (stricter), gave 15 and 16 where 13.9 are allowed.

Change: from the second connect within two seconds on, only what is left of this proxy's own part of N is let in, a part of one as a chance; what goes by its group's rank has 0.65 of the share (0.75 gave 14 in the story of three hundred, 0.5 held back too many that are nearly warm). The budget and the connects sent are kept in record.rs.

--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -1,19 +1,19 @@
 //! What a server that just started may be sent, and how much of the fleet this proxy sees.
 
-use crate::record::{Server, Shelf, WarmUp};
+use crate::record::{Server, WarmUp};
 use crate::time::Point;
 
 impl WarmUp {
-    /// The share of circuits a server may have. Guards against pushing a cold one over, by what a proxy sees:
-    /// the crowd that came just now is its part of all that comes, what is open its part of what fills.
-    pub(super) fn share(&self, server: &Server, part: f64, crowd: f64, most: f64, now: Point) -> f64 {
-        let warmth = self.warmth(server, now);
-        // Half of the bound is left for chance.
+    /// The share of circuits that one of so `many` may have. Guards against pushing a cold one over: the
+    /// crowd that came just now is this proxy's part of all that comes, what is open its part of what fills.
+    pub(super) fn share(&self, server: &Server, [part, crowd, most, many]: [f64; 4], now: Point) -> f64 {
+        // Half of the budget is left for chance, beside 2 x its root + 2.
         const USED: f64 = 0.5;
-        let present = self.cold_from + (1.0 - self.cold_from) * warmth;
-        // A cold server can take what fills it over its warm-up.
-        let filling = part * Shelf::JUST_BEFORE.over(self.cold_span);
-        (filling * USED * self.fall_multiple * present / crowd).min(most).max(warmth.floor())
+        let budget = self.budget(server, part, now);
+        // Guards against a run of chance or of one group: past this proxy's part of the budget none follows.
+        let sent = server.sent_just_before(now);
+        let left = if sent == 0.0 { 1.0 } else { (budget / many - sent).clamp(0.0, 1.0) };
+        (budget * USED * left / crowd).min(most).max(self.warmth(server, now).floor())
     }
 
     /// Whether a key is among those, the same at every proxy, that are placed as if no server were in sight:
--- a/src/choice/dispatch.rs
+++ b/src/choice/dispatch.rs
@@ -22,7 +22,7 @@
         let all = last || circuit.effect == Effect::SingleUse || self.shelf.window(now) < 1.0;
         let time_out = if all { left } else { self.shelf.unusual_after().map_or(half, by_gaps) };
         host.connect(circuit.id, &server.id, time_out);
-        server.waiting.set(server.waiting.get() + 1);
+        server.note_sent(now);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
         circuit.connects.borrow_mut().push(Connect { server, sent: now, ending: None });
         circuit.hailed.set(false);
--- a/src/choice/placement.rs
+++ b/src/choice/placement.rs
@@ -27,8 +27,7 @@
         let [number, open, out] = active().fold([0.0; 3], add);
         let over = |n: f64, sum: f64| n * number > SKIP_FACTOR * sum && n >= sum / number + SKIP_MARGIN;
         let overfull = |s: &Server| over(s.open(), open) || over(f64::from(s.waiting.get()), out);
-        // Guards against retries asking until they are let in: one draw for the whole order, and the same one
-        // for all that a client tries within a draw's life, which outlasts a client's own quick retries.
+        // Guards against retries asking until let in: one draw for all that a client tries in a draw's life.
         const DRAW_LIFE: Span = Span::millis(2000);
         let seed = self.shelf.seed ^ circuit.key ^ now.count(DRAW_LIFE);
         let draw = f64::from(WyRand::new_seed(seed).generate::<f32>());
@@ -40,11 +39,11 @@
         let blind = circuit.group.is_some() && self.warm_up.out_of_sight(circuit.key, servers.len());
         let most = if circuit.returned && blind { 1.0 / (1.0 + MORE as f64) } else { 1.0 };
         let first = circuit.turn.map_or(1.0 - draw, |turn| turn.before);
-        let usable = |s: &&Rc<Server>| {
+        let usable = |s: &&Rc<Server>, part: f64| {
             s.standing.get() == Standing::Active
                 && circuit.may_go_to(s, now)
                 && !circuit.connects.borrow().iter().any(|c| Rc::ptr_eq(&c.server, s))
-                && first <= self.warm_up.share(s, part, crowd, most, now)
+                && first <= self.warm_up.share(s, [part, crowd, most, servers.len() as f64], now)
         };
         // While it is unusually silent a server has no trust at all.
         let unusual = self.shelf.unusual_after();
@@ -58,8 +57,8 @@
         // The ordinary path: the key's hash, and the next in order past what drains, is gone or is overfull.
         let by_group = circuit.group.filter(|_| !circuit.mid_flow || blind);
         if !circuit.returned || by_group.is_none() {
-            let first = circuit.key as usize % servers.len().max(1);
-            let own = servers[first..].iter().chain(&servers[..first]).filter(usable).find(|s| !overfull(s));
+            let at = circuit.key as usize % servers.len().max(1);
+            let own = servers[at..].iter().chain(&servers[..at]).find(|s| usable(s, part) && !overfull(s));
             // Guards against placing by hash in a fleet that is strained where this proxy cannot see it.
             let calm = || !blind && draw >= self.shelf.strain(|_| true, now);
             if own.is_some_and(|s| by_group.is_none() && circuit.mid_flow || trusted(&s) && calm()) {
@@ -69,11 +68,12 @@
         // Guards against members of a group straining every server at once: what came back, or found its pick
         // or the fleet strained, meets its group at the servers that rank first for it at every proxy.
         let by = by_group.unwrap_or(circuit.key);
+        // Guards against a cold one that is first for many groups, unseen by each proxy; 0.75 was too much.
+        let part = if by_group.is_some() { part * 0.65 } else { part };
         // Who broke off or refused and holds nothing is gone: it takes nobody's place.
-        let there = |s: &&Rc<Server>| usable(s) && (!s.broke.get() || s.open() > 0.0 || trusted(s));
+        let there = |s: &&Rc<Server>| usable(s, part) && (!s.broke.get() || s.open() > 0.0 || trusted(s));
         let mut ranked: Vec<_> = servers.iter().filter(there).map(|s| (s.rank(by), s)).collect();
-        // Guards against a strained fleet scattering its groups: a circuit tries so many past its group's
-        // servers, enough where a fifth of a fleet is slow, and else is pushed back.
+        // Guards against a strained fleet scattering its groups: so many past their servers, else pushback.
         // Guards against a group's weight on one server that is cold, or that nobody has seen strain yet.
         let cold = || ranked.iter().min_by_key(|r| r.0).is_some_and(|r| self.warm_up.warmth(r.1, now) < 1.0);
         let more = if blind && (!circuit.returned || cold()) { MORE } else { 0 };
--- a/src/record.rs
+++ b/src/record.rs
@@ -20,6 +20,8 @@
     pub(crate) started: Cell<Option<Point>>,
     /// The connections that this proxy placed and that stand.
     pub(crate) held: RefCell<BTreeMap<CircuitId, Weak<Circuit>>>,
+    /// When the last connects were sent to it.
+    pub(crate) sent: RefCell<VecDeque<Point>>,
     /// Connects that wait for a word from the server, and since when it has sent none.
     pub(crate) waiting: Cell<u32>,
     pub(crate) silent_since: Cell<Option<Point>>,
@@ -160,6 +162,20 @@
         self.held.borrow().len() as f64 + f64::from(self.waiting.get())
     }
 
+    /// Keeps that a connect goes out to it.
+    pub(crate) fn note_sent(&self, now: Point) {
+        self.waiting.set(self.waiting.get() + 1);
+        // Far more than a proxy may send to a cold one.
+        const SAMPLES: usize = 64;
+        keep_last(SAMPLES, now, &mut self.sent.borrow_mut());
+    }
+
+    /// How many connects this proxy sent to it just before.
+    pub(crate) fn sent_just_before(&self, now: Point) -> f64 {
+        let sent = self.sent.borrow();
+        sent.iter().rev().take_while(|at| now.since(**at) <= Shelf::JUST_BEFORE).count() as f64
+    }
+
     /// Keeps how long a probe took; how many times as long as its quickest.
     pub(crate) fn slower(&self, took: Span) -> f64 {
         // Longer than strain is let last; a freak answer sets the quickest no longer than that.
@@ -192,6 +208,13 @@
         self.all_hold.unwrap_or(self.each_holds * servers as f64) / self.proxies
     }
 
+    /// How many connects those can take just now that together hold `part` and are as warm as this server.
+    pub(crate) fn budget(&self, server: &Server, part: f64, now: Point) -> f64 {
+        let present = self.cold_from + (1.0 - self.cold_from) * self.warmth(server, now);
+        // A cold server can take what fills it over its warm-up.
+        part * Shelf::JUST_BEFORE.over(self.cold_span) * self.fall_multiple * present
+    }
+
     /// From 0, just started, to 1, warm.
     pub(crate) fn warmth(&self, server: &Server, now: Point) -> f64 {
         server.started.get().map_or(1.0, |at| now.since(at).over(self.cold_span).min(1.0))
--- a/tests/stories/cold.rs
+++ b/tests/stories/cold.rs
@@ -176,7 +176,7 @@
 }
 
 /// The whole of a zone comes back cold at once, and the clients that it held come to three hundred proxies that were all
-/// told of the start: each cold server has to stay under N + 3 x root of N + 3 connects in its two seconds, N being three
+/// told of the start: each cold server has to stay under N + 2 x root of N + 2 connects in its two seconds, N being three
 /// times what fills it over its warm-up at its present strength.
 #[test]
 fn three_hundred_proxies_keep_ten_cold_servers_within_their_bound_when_a_zone_comes_back() {
@@ -207,6 +207,6 @@
     }
     // Two seconds of eight, at three tenths of its strength and somewhat more.
     let allowed = 3.0 * holds * 2.0 / 8.0 * 0.3;
-    let bound = allowed + 3.0 * f64::sqrt(allowed) + 3.0;
+    let bound = allowed + 2.0 * f64::sqrt(allowed) + 2.0;
     assert!(sent.len() > COLD / 2 && sent.values().all(|n| *n <= bound), "{bound} {sent:?}");
 }
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -8,5 +8,6 @@
 mod jams;
 mod listing;
 mod order;
+mod ramp;
 mod relief;
 mod trust;
