--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -8,6 +8,7 @@
 mod jams;
 mod listing;
 mod order;
+mod ramp;
 mod relief;
 mod told;
 mod trust;
