Nothing is connected to for a client whose end lies unread

A connect went out, though with nothing sent on it, for a client that had closed, reset or ended its sending, where that had come but its event had not been heard yet: a sign of life, the first word of a pushed list, or the list that names the server of `at=`, heard first in the same turn, placed it.

`Circuit::still_asks` looks at the client's socket itself right before each connect (`Hands::connect`, `Hands::take_over`), and an end that lies there is the circuit's end. It also serves `hear_client` until the answer. An end of its sending alone counts as gone: the protocol has a peer give up by closing or by ending its sending.

Seen to fail: the stories of the sign of life and of the list's first word without the check in `connect`, the one of what was open before the start without that in `take_over`, and all three on the text as it was. The other stories of gone.rs hold on the text as it was: no sign of life in time, half of the patience over, a connect that does not come up, a second attempt, an end behind the first line.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -8,17 +8,34 @@
 use shelfgrade::time::Span;
 
 impl Circuit {
+    /// Whether the client still waits for its answer, and does nothing else. Guards against an attempt for one that
+    /// has gone, by a close, a reset or an end of its sending alone, with no event of that heard yet, and against
+    /// serving whoever does not wait.
+    pub fn still_asks(&self, hands: &mut Hands) -> bool {
+        if self.client.rests() {
+            return true;
+        }
+        if self.client.ended.get().is_some() {
+            hands.tally.count("clients gone unanswered");
+            self.close(hands);
+        } else {
+            hands.tally.complain("lines before an answer");
+            self.answer("ERR", hands);
+        }
+        false
+    }
+
     /// Reads once from the client; true if anything came.
     pub fn hear_client(&self, proxy: &mut Proxy) -> bool {
+        if self.stage.get() == Stage::Asking {
+            let asks = self.still_asks(&mut proxy.hands);
+            if !asks {
+                proxy.left(self.id);
+            }
+            return !asks;
+        }
         let before = self.client.ended.get();
         let read = self.client.read(&mut self.up.borrow_mut());
-        if read > 0 && self.stage.get() == Stage::Asking {
-            // Guards against serving whoever does not wait for an answer, and against keeping what it sends.
-            proxy.hands.tally.complain("lines before an answer");
-            self.answer("ERR", &mut proxy.hands);
-            proxy.left(self.id);
-            return true;
-        }
         if read > 0 && self.up_end.get().is_some() {
             self.up.borrow_mut().clear();
         } else if read > 0 {
@@ -40,11 +57,6 @@
 
     fn client_ended(&self, how: End, proxy: &mut Proxy) {
         match self.stage.get() {
-            Stage::Asking => {
-                proxy.hands.tally.count("clients gone unanswered");
-                self.close(&mut proxy.hands);
-                proxy.left(self.id);
-            }
             Stage::Standing => {
                 self.up_end.set(Some(how));
                 if how == End::Reset {
@@ -52,7 +64,7 @@
                 }
                 self.over_for_module(Ending::CalledOff, proxy);
             }
-            Stage::Leaving | Stage::Closed => {}
+            Stage::Asking | Stage::Leaving | Stage::Closed => {}
         }
     }
 
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -144,6 +144,9 @@
 
     /// Connects a circuit to the server that its line names, or leaves it for when the list names that one.
     pub fn take_over(&mut self, circuit: &Rc<Circuit>) {
+        if !circuit.still_asks(self) {
+            return;
+        }
         let server = circuit.opening.at.as_ref().and_then(|at| self.servers.get(at.as_str()).cloned());
         let Some(server) = server else { return self.unplaced.push(circuit.me.clone()) };
         match Connect::begin(circuit, server, TAKE_OVER_WITHIN, self.clock.now(), self) {
@@ -171,6 +174,9 @@
         self.tally
             .must(found.is_some() && server.is_some(), "a connect is for a circuit and a server that are");
         let begun = match (&found, server) {
+            (Some(found), _) if !found.still_asks(self) => {
+                return self.untold.push_back((circuit, Ending::CalledOff, true));
+            }
             (Some(found), Some(server)) => {
                 self.tally.must(found.connect.borrow().is_none(), "one connect at a time");
                 Connect::begin(found, server, time_out, self.clock.now(), self)
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -102,6 +102,19 @@
         matches!(self.stream.peek(&mut [0]), Ok(0))
     }
 
+    /// Whether the peer has neither sent anything that is still to be read nor ended; where it has ended, `ended` says
+    /// so from then on.
+    pub fn rests(&self) -> bool {
+        if self.ended.get().is_some() {
+            return false;
+        }
+        let there = self.settle(|stream| stream.peek(&mut [0]));
+        if there == Some(0) {
+            self.ended.set(Some(End::Fin));
+        }
+        there.is_none() && self.ended.get().is_none()
+    }
+
     /// Reads once into the ring; nothing where there is nothing now, no room, or nothing any more.
     pub fn read(&self, ring: &mut Ring) -> usize {
         if self.ended.get().is_some() || ring.is_full() {
--- a/crates/proxy/tests/sockets/leaving.rs
+++ b/crates/proxy/tests/sockets/leaving.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 /// Whatever the place is sent, it is no first line; true if it was connected to at all.
-fn gets_no_line(place: &Place) -> bool {
+pub fn gets_no_line(place: &Place) -> bool {
     let connected = place.try_accept();
     connected.map(|mut wire| assert_eq!(wire.line(), "", "{}", place.name)).is_some()
 }
 
 /// The program has had its turn: whoever comes now is answered after all that came before.
-fn has_gone_round(program: &Program) {
+pub fn has_gone_round(program: &Program) {
     assert_eq!(program.client().say("PING\r\n").line(), "PONG");
 }
 
 /// Takes a circuit's connect, at whichever of two servers it came to: its wire, and the other server.
-fn asked<'a>(one: &'a Place, two: &'a Place) -> (Wire, &'a Place) {
+pub fn asked<'a>(one: &'a Place, two: &'a Place) -> (Wire, &'a Place) {
     let (mut wire, other) = within(LONG, || {
         let first = one.try_accept().map(|wire| (wire, two));
         first.or_else(|| two.try_accept().map(|wire| (wire, one)))
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 mod crossing;
 mod ending;
 mod faults;
+mod gone;
 mod leaving;
 mod life;
 mod listing;
