A last answer reads what its client has sent on before it closes

A caller with a bad first line and more than one read behind it had been closed on so all along.

`Circuit::answer` and `Caller::refuse` now end their sending, and read and drop what lies there, up to 256 KiB, before they close. What comes after that still resets the connection: nobody lingers yet.

The story fails without the line in `client.rs`, and without that in `caller.rs`.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -3,7 +3,7 @@
 
 use crate::line::{whole, Open, LONGEST};
 use crate::proxy::Proxy;
-use crate::socket::Socket;
+use crate::socket::{End, Socket};
 use shelfgrade::time::Point;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -95,6 +95,8 @@
     pub fn refuse(&self, answer: &str, why: &'static str, proxy: &mut Proxy) {
         proxy.hands.tally.complain(why);
         self.socket.tell(answer);
+        self.socket.end(End::Fin);
+        self.socket.discard();
         proxy.door.forget(self);
     }
 }
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -72,6 +72,8 @@
     /// descriptors for whoever goes on sending.
     pub fn answer(&self, line: &str, hands: &mut Hands) {
         self.client.tell(line);
+        self.client.end(End::Fin);
+        self.client.discard();
         self.close(hands);
     }
 }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -142,6 +142,19 @@
         read.unwrap_or(0)
     }
 
+    /// Reads what lies there, and drops it. Guards against a close over unread bytes, which resets the connection and
+    /// may take the last answer with it.
+    pub fn discard(&self) {
+        // More than a client sends that means no harm; whoever sends on is not read without end.
+        const READS: usize = 64;
+        let mut scratch = [0; 4096];
+        for _ in 0..READS {
+            if self.settle(|mut stream| stream.read(&mut scratch)).is_none_or(|read| read == 0) {
+                return;
+            }
+        }
+    }
+
     /// Writes a line of our own to a peer that nothing else is being written to.
     pub fn tell(&self, line: &str) {
         let line = format!("{line}\r\n");
--- a/crates/proxy/tests/sockets/gone.rs
+++ b/crates/proxy/tests/sockets/gone.rs
@@ -46,6 +46,31 @@
     by.has_gone(client)
 }
 
+/// It was closed on with its further lines unread, which reset the connection behind the answer.
+#[test]
+fn a_last_answer_is_followed_by_an_end_and_no_reset_where_its_client_has_sent_on() {
+    let more = "M 1\r\n".repeat(8000);
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let mut asking = program.opens("lift-1", ",d=3000");
+    let mut at_server = server.accept();
+    assert!(at_server.line().starts_with("OPEN"));
+    program.stands_still();
+    let mut bad = program.client();
+    bad.say("NONSENSE\r\n").say(&more);
+    asking.say(&more);
+    program.goes_on();
+    for client in [&mut bad, &mut asking] {
+        assert_eq!((client.line(), client.line()), ("ERR".into(), "".into()));
+    }
+    has_gone_round(&program);
+    for client in [&bad, &asking] {
+        assert!(client.stream.take_error().unwrap().is_none(), "a reset came behind the end");
+    }
+    assert_eq!(at_server.line(), "");
+    program.ends();
+}
+
 /// Of servers that are asked for a sign of life first.
 const ASKS_FIRST: Terms = Terms { probes: true, tells_delay: true, aim_ms: 5000, quota: "1", ..USUAL };
 
