--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -102,6 +102,19 @@
         matches!(self.stream.peek(&mut [0]), Ok(0))
     }
 
+    /// Whether the peer has neither sent anything that is still to be read nor ended; where it has ended, `ended` says
+    /// so from then on.
+    pub fn rests(&self) -> bool {
+        if self.ended.get().is_some() {
+            return false;
+        }
+        let there = self.settle(|stream| stream.peek(&mut [0]));
+        if there == Some(0) {
+            self.ended.set(Some(End::Fin));
+        }
+        there.is_none() && self.ended.get().is_none()
+    }
+
     /// Reads once into the ring; nothing where there is nothing now, no room, or nothing any more.
     pub fn read(&self, ring: &mut Ring) -> usize {
         if self.ended.get().is_some() || ring.is_full() {
@@ -129,6 +142,19 @@
         read.unwrap_or(0)
     }
 
+    /// Reads what lies there, and drops it. Guards against a close over unread bytes, which resets the connection and
+    /// may take the last answer with it.
+    pub fn discard(&self) {
+        // More than a client sends that means no harm; whoever sends on is not read without end.
+        const READS: usize = 64;
+        let mut scratch = [0; 4096];
+        for _ in 0..READS {
+            if self.settle(|mut stream| stream.read(&mut scratch)).is_none_or(|read| read == 0) {
+                return;
+            }
+        }
+    }
+
     /// Writes a line of our own to a peer that nothing else is being written to.
     pub fn tell(&self, line: &str) {
         let line = format!("{line}\r\n");
