Descriptors: by the limit that is reached, with idle probes counted; every dial still comes

`limit_descriptors` reached the system's maximum at most, and `Hands` went by `limits.sockets` all the same: with `sockets: 1024` and a maximum of 64 idle clients were let in until accepting and dialling failed ("accepting put off"). The program goes by what was reached, and says so in its log.

Connections for signs of life stay open after the circuits that they were for, and were counted by those that are there: with `sockets: 64` and sixty servers some forty of them took all descriptors. They are counted as held, callers give way to them, and those asked least lately are ended where a new one or a circuit wants the room.

With a fleet file and no list in time, servers that the start-up file alone knew were chosen and could not be dialled: the process never answered `PONG`, and broke the assertion on a connect. Their addresses go to the return with their lines.

Stories: room.rs plays discovery, a server, a sign of life and fellows with the descriptors held by callers, circuits and both, under either limit; ready.rs starts ten processes again before a discovery that refuses, is silent, full or slow, with a list asked for and pushed, alone and among idle clients.

--- a/crates/proxy/src/comeback.rs
+++ b/crates/proxy/src/comeback.rs
@@ -140,7 +140,9 @@
         known: &Listing,
         seed: u64,
     ) -> Result<(), FleetFault> {
-        let fellows = Fellows::begin(file, terms, known.lines(), seed, self)?;
+        let dials = known.entries.iter().map(|entry| entry.dial);
+        let known = known.lines().into_iter().zip(dials).map(|(listed, dial)| Line { listed, dial });
+        let fellows = Fellows::begin(file, terms, known.collect(), seed, self)?;
         self.spaces = Spaces::new(fellows.seat());
         self.fellows = Some(fellows.clone());
         // What an earlier life knew comes with no word of its own.
--- a/crates/proxy/src/fellows.rs
+++ b/crates/proxy/src/fellows.rs
@@ -11,7 +11,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use serde::{de::DeserializeOwned, Serialize};
 use shelfgrade::handover::Remembered;
-use shelfgrade::host::{Listed, Turn};
+use shelfgrade::host::Turn;
 use shelfgrade::time::Point;
 use shelfgrade_fleet::{Entry, PutFault, Seat, Surroundings, Version};
 use shelfgrade_recovery::around::{Around, Line, Terms};
@@ -126,7 +126,7 @@
     pub fn begin(
         file: FleetFile,
         terms: Terms,
-        known: Vec<Listed>,
+        known: Vec<Line>,
         seed: u64,
         company: &mut C,
     ) -> Result<Rc<Self>, FleetFault> {
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -77,24 +77,54 @@
     }
 
     /// Descriptors that are spoken for: each circuit's two, one a server for its probe, and our own.
-    fn spoken_for(&self) -> usize {
+    fn spoken_for(&self, probes: usize) -> usize {
         // For the listener, discovery, the loop and the log.
         const SPARE: usize = 24;
-        // Only servers that hold a circuit are probed, or three for a new one, however long the list.
-        let probes = self.servers.len().min(3 * (self.circuits.len() + 1));
         2 * self.circuits.len() + probes + SPARE
     }
 
+    /// How many probes there may be at the least.
+    fn probes_wanted(&self) -> usize {
+        // Only servers that hold a circuit are probed, or three for a new one, however long the list.
+        self.servers.len().min(3 * (self.circuits.len() + 1))
+    }
+
+    /// Their connections stay when the circuits that they were for have gone.
+    fn probes(&self) -> usize {
+        let held = self.servers.values().filter(|server| server.probe.borrow().is_some()).count();
+        held.max(self.probes_wanted())
+    }
+
     /// How many connections may be held that have sent no first line: what is left, a quarter at most, which
     /// is far more than come at once where all clients speak.
     pub fn room_for_callers(&self) -> usize {
-        let left = self.sockets.saturating_sub(self.spoken_for());
+        let left = self.sockets.saturating_sub(self.spoken_for(self.probes()));
         left.clamp(self.kept_for_callers(), self.sockets / 4)
     }
 
     /// Whether one more circuit might find no descriptor.
     pub fn is_full(&self) -> bool {
-        self.spoken_for() + 2 + self.kept_for_callers() > self.sockets
+        let is_full = |probes| self.spoken_for(probes) + 2 + self.kept_for_callers() > self.sockets;
+        let full = is_full(self.probes_wanted());
+        if !full && is_full(self.probes()) {
+            self.hang_up(self.probes_wanted());
+        }
+        full
+    }
+
+    /// Makes room for one more probe. Guards against those of circuits that have gone holding all descriptors.
+    pub fn make_room_for_probe(&self) {
+        let others = self.spoken_for(0) + self.kept_for_callers();
+        self.hang_up(self.sockets.saturating_sub(others).max(self.probes_wanted()).saturating_sub(1));
+    }
+
+    /// Ends all probes but so many, those asked least lately first.
+    fn hang_up(&self, but: usize) {
+        let asked = |server: &Rc<Server>| Some((server.probe.borrow().as_ref()?.last.get(), server.clone()));
+        let mut held: Vec<_> = self.servers.values().filter_map(asked).collect();
+        let over = held.len().saturating_sub(but);
+        held.sort_by_key(|(last, _)| *last);
+        held.iter().take(over).for_each(|(_, server)| drop(server.probe.take()));
     }
 
     pub fn forget(&mut self, circuit: &Circuit) {
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -16,6 +16,8 @@
     lines: RefCell<Cutter>,
     /// When the `PING` that is out was asked for.
     asked: Cell<Option<Point>>,
+    /// When the last one was asked for.
+    pub last: Cell<Point>,
 }
 
 // Longer than anyone waits for a sign of life, shorter than rounds of probes are apart.
@@ -38,6 +40,7 @@
         let usable = standing.filter(|p| out_since.is_none() && p.socket.ended.get().is_none());
         let Some(probe) = usable.or_else(|| Self::open(server, proxy)) else { return };
         probe.asked.set(Some(now));
+        probe.last.set(now);
         probe.out.borrow_mut().push(b"PING\r\n");
         *server.probe.borrow_mut() = Some(probe.clone());
         probe.flush();
@@ -46,6 +49,8 @@
     fn open(server: &Rc<Server>, proxy: &mut Proxy) -> Option<Rc<Self>> {
         // A short line each way.
         const ROOM: usize = 256;
+        proxy.hands.make_room_for_probe();
+        proxy.make_room();
         let socket = Socket::dial(server.dial.get()).ok()?;
         let probe = Rc::new(Probe {
             socket,
@@ -53,6 +58,7 @@
             back: RefCell::new(Ring::new(ROOM)),
             lines: RefCell::default(),
             asked: Cell::default(),
+            last: Cell::new(proxy.now()),
         });
         let (weak, server) = (Rc::downgrade(&probe), Rc::downgrade(server));
         let watched = probe.socket.watch(&proxy.hands.handle, move |proxy| {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -73,11 +73,9 @@
 
 /// Serves until told to end.
 pub fn serve(start: Start) -> Result<(), ServeFault> {
-    let ring = ring_size(start.limits);
     let fleet = FleetFile::from_environment(&start.name)?;
-    if let Err(fault) = limit_descriptors(start.limits.sockets) {
-        log::warn!("the limit on descriptors stays as it is: {fault}");
-    }
+    let limits = Limits { sockets: limit_descriptors(start.limits.sockets), ..start.limits };
+    let ring = ring_size(limits);
 
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new()?;
     let handle = events.handle();
@@ -101,7 +99,7 @@
     let settings = start.settings;
     let return_terms = fleet.as_ref().map(|fleet| comeback::terms(&start.terms, fleet));
     let signs = (start.terms.may_probe, start.terms.tells_delay);
-    let hands = Hands::new(handle, start.limits, start.terms.dial_time_out, signs);
+    let hands = Hands::new(handle, limits, start.terms.dial_time_out, signs);
     let now = hands.clock.now();
     let tally = hands.tally.clone();
     let mut proxy = Proxy {
@@ -159,12 +157,23 @@
     ((limits.memory_mb << 20) as usize / 2 / (2 * limits.sockets.max(1) as usize)).clamp(least, most)
 }
 
-/// Sets the system's limit to the one that was given, so that neither is met by surprise.
-fn limit_descriptors(wanted: u64) -> rustix::io::Result<()> {
+/// Sets the system's limit to the one that was given, so that neither is met by surprise; gives the one that is reached.
+/// Guards against going by a limit that the system's maximum keeps out of reach: descriptors would run out before it.
+fn limit_descriptors(wanted: u64) -> u64 {
     use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
-    let maximum = getrlimit(Resource::Nofile).maximum;
-    let reachable = maximum.map_or(wanted, |m| m.min(wanted));
-    setrlimit(Resource::Nofile, Rlimit { current: Some(reachable), maximum })
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    let reachable = maximum.map_or(wanted, |most| most.min(wanted));
+    let reached = match setrlimit(Resource::Nofile, Rlimit { current: Some(reachable), maximum }) {
+        Ok(()) => reachable,
+        Err(fault) => {
+            log::warn!("the limit on descriptors stays as it is: {fault}");
+            current.map_or(wanted, |current| current.min(wanted))
+        }
+    };
+    if reached < wanted {
+        log::warn!("descriptors: {reached}, where `sockets` is {wanted}: raise the system's maximum, or lower `sockets`");
+    }
+    reached
 }
 
 impl Proxy {
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -10,5 +10,7 @@
 mod moving;
 mod passing;
 mod peers;
+mod ready;
+mod room;
 mod stand;
 mod watches;
--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_shelfgrade");
+
 /// Far longer than anything here takes.
 pub const LONG: Duration = Duration::from_secs(8);
 
@@ -238,6 +240,11 @@
 
     /// Starts it before a discovery that others may ask too.
     pub fn start_before(discovery: Arc<Place>, terms: Terms, known: &[&Place]) -> Self {
+        Self::start_by(Command::new(PROGRAM), discovery, terms, known)
+    }
+
+    /// Starts it by a command of the story's own.
+    pub fn start_by(command: Command, discovery: Arc<Place>, terms: Terms, known: &[&Place]) -> Self {
         let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
         let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, .. } = terms;
         let Terms { discovery: how, patience_ms, connects, must_ask_ms, seed, .. } = terms;
@@ -255,21 +262,25 @@
             discovery.address,
             entries.join(",")
         );
-        let (mut child, config) = Self::launch(&text);
+        Self::begin(command, discovery, text)
+    }
+
+    /// Starts it with this start-up file.
+    pub fn begin(command: Command, discovery: Arc<Place>, text: String) -> Self {
+        let (mut child, config) = Self::launch(command, &text);
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
-        log.read_line(&mut line).unwrap();
+        while log.read_line(&mut line).unwrap() > 0 && !line.contains("listens on") {}
         let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
         let address = address.unwrap_or_else(|| panic!("did not start: {line}")).parse().unwrap();
         Program { child, log, address, discovery, config, text }
     }
 
-    pub fn launch(config: &str) -> (Child, std::path::PathBuf) {
+    fn launch(mut command: Command, config: &str) -> (Child, std::path::PathBuf) {
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("shelfgrade-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_shelfgrade"));
         command.env("RELAY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
         (command.spawn().unwrap(), path)
     }
--- a/crates/recovery/src/comeback.rs
+++ b/crates/recovery/src/comeback.rs
@@ -8,10 +8,11 @@
 use crate::snapshot::{Held, Saved};
 use crate::trust::{digest, server, Fact, Health, Restored, BEATS, LIST, SERVERS};
 use nanorand::{Rng, WyRand};
-use shelfgrade::host::{Listed, Turn};
+use shelfgrade::host::{Listed, ServerId, Turn};
 use shelfgrade::time::{Point, Span};
 use shelfgrade_fleet::{Entry, Fleet, Roster, Seat, Version};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 pub struct Comeback {
     fleet: Fleet,
@@ -22,6 +23,8 @@
     /// What was known of servers before this life, and of which count of discovery's: not told to anybody.
     before: (u64, BTreeMap<String, Fact>),
     candidates: Vec<Listed>,
+    /// Where the start-up file has its servers.
+    dials: BTreeMap<ServerId, SocketAddr>,
     held: Vec<(u64, String, f64)>,
     /// All lines of the list are those that an asker has.
     agreed: bool,
@@ -60,6 +63,7 @@
             facts: BTreeMap::new(),
             before: Default::default(),
             candidates: Vec::new(),
+            dials: BTreeMap::new(),
             held: Vec::new(),
             agreed: false,
             watches: false,
@@ -103,10 +107,14 @@
     }
 
     /// Servers that were known before, where nothing newer is: the start-up file's, as candidates beside the snapshot's.
-    pub fn knows(&mut self, lines: impl Iterator<Item = Listed>, now: Point) {
-        let known: Vec<_> =
-            lines.filter(|line| !self.candidates.iter().any(|c| c.server == line.server)).collect();
-        self.candidates.extend(known.into_iter().map(|line| Listed { started: Some(now), ..line }));
+    pub fn knows(&mut self, lines: impl Iterator<Item = Line>, now: Point) {
+        let held: BTreeSet<_> = self.candidates.iter().map(|c| c.server.clone()).collect();
+        for Line { listed, dial } in lines {
+            self.dials.extend(dial.map(|dial| (listed.server.clone(), dial)));
+            if !held.contains(&listed.server) {
+                self.candidates.push(Listed { started: Some(now), ..listed });
+            }
+        }
     }
 
     /// The part of what the fleet may do that this process may, from 0 to 1.
@@ -185,7 +193,9 @@
 
     /// The wait for the list is over: the servers known from before have to do, all as cold.
     fn go_by_what_was(&mut self, now: Point, around: &mut dyn Around) {
-        let dial = |line: &Listed| self.before.1.get(&*line.server).and_then(|fact| fact.dial);
+        // Guards against servers that can be chosen and not be dialled: those that the start-up file alone knows.
+        let before = |line: &Listed| self.before.1.get(&*line.server).and_then(|fact| fact.dial);
+        let dial = |line: &Listed| before(line).or(self.dials.get(&line.server).copied());
         let lines: Vec<_> =
             self.candidates.iter().map(|c| Line { dial: dial(c), listed: c.clone() }).collect();
         let why =
