Trials: the program is built once, with the features of the whole workspace's tests

`cargo build -p shelfgrade-proxy`, run by the first trial, resolved other features than the tests of the workspace and so built the program and what it needs a second time: 207 s by itself on a machine that others used too. With the workspace's own selection it is there already.

--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -16,7 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// The program, built as these tests are; built now where it is not.
+/// The program, built as these tests are; built now where it is not. Guards against building it and all that it needs a
+/// second time, with the features that it has alone: the whole workspace's tests have it built already.
 pub fn program() -> PathBuf {
     static BUILT: Once = Once::new();
     let tests = std::env::current_exe().expect("this program's path");
@@ -24,7 +25,7 @@
     let folder = folder.expect("cargo's folder").to_owned();
     BUILT.call_once(|| {
         let mut build = Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".into()));
-        build.args(["build", "--quiet", "--locked", "-p", "shelfgrade-proxy", "--bin", "shelfgrade"]);
+        build.args(["test", "--no-run", "--quiet", "--locked", "--workspace", "--test", "sockets"]);
         build.args(folder.ends_with("release").then_some("--release"));
         let built = build.current_dir(env!("CARGO_MANIFEST_DIR")).status();
         assert!(built.is_ok_and(|status| status.success()), "the program is built");
