--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -11,6 +11,8 @@
 mod moving;
 mod passing;
 mod peers;
+mod ready;
+mod room;
 mod stand;
 mod told;
 mod watches;
