--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -297,5 +297,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/main.rs"]
+#[path = "../tests/unit/wire_in.rs"]
 mod tests;
