Proxy: a beat looks after what waits, not at all circuits

Each beat, ten a second, cloned and walked all circuits, and once a second one more walk went over them for lines without an answer.

Circuits are noted as due when their stage or their wait for a line's end begins, and as unanswered with the first line that nothing has come back to; a beat looks at these alone, in the order of before.

The counter `circuits looked after` tells how often one was, by which a story shows that none is at rest.

--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -140,6 +140,7 @@
     pub fn over_for_module(&self, ending: Ending, proxy: &mut Proxy) {
         if self.stage.get() == Stage::Standing {
             self.enter(Stage::Leaving, proxy.now());
+            proxy.hands.due.add(self);
             proxy.ended(self.id, ending, true);
         }
     }
@@ -150,6 +151,7 @@
         proxy.hands.tally.complain("long lines");
         self.server_ended(End::Fin, ending, proxy);
         self.enter(Stage::Leaving, proxy.now());
+        proxy.hands.due.add(self);
     }
 
     /// Sends the client away as soon as the server's last line has ended; true once that is done.
@@ -182,6 +184,16 @@
         hands.forget(self);
     }
 
+    /// Whether something is to be done that no event may come for.
+    pub fn is_due(&self) -> bool {
+        match self.stage.get() {
+            Stage::Asking => self.is_taken_over(),
+            Stage::Standing => self.leaving_line.get().is_some(),
+            Stage::Leaving => true,
+            Stage::Closed => false,
+        }
+    }
+
     /// Looks after what no event comes for.
     pub fn beat(&self, proxy: &mut Proxy) {
         // Long enough for a peer to end its side too, short enough to free the descriptors.
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -25,7 +25,11 @@
             let lines = self.from_client.borrow_mut().feed(self.up.borrow().latest(read));
             match lines {
                 Ok(lines) if lines.is_empty() => {}
-                Ok(_) => self.asked.set(self.asked.get().or(Some(proxy.now()))),
+                Ok(_) if self.asked.get().is_none() => {
+                    self.asked.set(Some(proxy.now()));
+                    proxy.hands.unanswered.add(self);
+                }
+                Ok(_) => {}
                 Err(fault) => self.foul(fault, Ending::CalledOff, proxy),
             }
         }
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -47,7 +47,7 @@
     }
 
     /// Called with each beat: ends when no more circuits come, all that came are answered, and none stands.
-    pub fn end_when_done(&mut self, circuits: &[Rc<Circuit>]) {
+    pub fn end_when_done(&mut self) {
         // Clients go on coming for a little while after the signal.
         const QUIET_FOR: Span = Span::millis(500);
         let Course { stay_for, open_for, gone_within } = self.course;
@@ -58,6 +58,7 @@
             self.chooser.ends((beats_left / BEAT.as_millis() as f64) as usize, &mut self.hands);
             self.settle();
         }
+        let circuits: Vec<Rc<Circuit>> = self.hands.circuits.values().cloned().collect();
         let in_stage = |stage| circuits.iter().filter(move |c| c.stage.get() == stage);
         if past >= open_for {
             for circuit in in_stage(Stage::Asking) {
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -3,6 +3,7 @@
 use crate::circuit::{Circuit, Stage, TAKE_OVER_WITHIN};
 use crate::client::busy;
 use crate::clock::{duration, Clock};
+use crate::due::Due;
 use crate::proxy::Proxy;
 use crate::server::{Connect, Server};
 use crate::start::Limits;
@@ -28,6 +29,9 @@
     pub servers: BTreeMap<ServerId, Rc<Server>>,
     /// The door: from the module's names to connections.
     pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    /// Those that are looked after with each beat, and those whose client waits for something to come back.
+    pub due: Due,
+    pub unanswered: Due,
     pub last_id: u64,
     /// What waits for the list to name the server that held it before the start.
     pub unplaced: Vec<Weak<Circuit>>,
@@ -56,6 +60,8 @@
             clock: Clock::start(),
             servers: BTreeMap::new(),
             circuits: BTreeMap::new(),
+            due: Due::default(),
+            unanswered: Due::default(),
             last_id: 0,
             unplaced: Vec::new(),
             list_heard: Cell::new(false),
@@ -214,6 +220,7 @@
             return;
         };
         circuit.leaving_line.set(Some(now));
+        self.due.add(circuit);
         if circuit.try_moving(now) {
             self.untold.push_back((circuit.id, Ending::CalledOff, true));
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod disk;
 mod door;
 mod driver;
+mod due;
 mod early;
 mod ending;
 mod fellows;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -189,6 +189,7 @@
         self.hands.circuits.insert(circuit.id, circuit.clone());
         self.discovery.clone().look(self);
         if circuit.is_taken_over() {
+            self.hands.due.add(&circuit);
             self.hands.take_over(&circuit);
         } else {
             self.hands.tally.count("circuits");
@@ -269,12 +270,14 @@
     }
 
     fn beat(&mut self) {
-        let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
-        circuits.iter().for_each(|circuit| circuit.beat(self));
+        for circuit in self.hands.due.look(Circuit::is_due) {
+            self.hands.tally.count("circuits looked after");
+            circuit.beat(self);
+        }
         self.sweep_callers();
         self.end_of_waiting();
         self.tell_pulses();
-        self.end_when_done(&circuits);
+        self.end_when_done();
     }
 
     /// Once a second the module hears how long messages take at each server.
@@ -289,8 +292,10 @@
         self.chooser.sweep(|circuit| there.contains_key(circuit), now);
         self.look_at_windows();
         let servers: Vec<_> = self.hands.servers.values().cloned().collect();
-        let circuits: Vec<_> = self.hands.circuits.values().cloned().collect();
-        for circuit in circuits {
+        let waits =
+            |circuit: &Circuit| circuit.stage.get() == Stage::Standing && circuit.asked.get().is_some();
+        for circuit in self.hands.unanswered.look(waits) {
+            self.hands.tally.count("circuits looked after");
             if let Some(asked) = circuit.asked.get().filter(|_| circuit.stage.get() == Stage::Standing) {
                 self.chooser.messages_take(circuit.id, now.since(asked), now, &mut self.hands);
                 self.settle();
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -10,5 +10,6 @@
 mod moving;
 mod passing;
 mod peers;
+mod rest;
 mod stand;
 mod watches;
--- /dev/null
+++ b/crates/proxy/tests/sockets/rest.rs
@@ -0,0 +1,44 @@
+//! Stories of circuits at rest.
+
+use crate::stand::{Place, Program, USUAL};
+
+/// What the log counts under this name; a counter that never moved is left out.
+fn counted(log: &str, what: &str) -> usize {
+    let after = log.split(&format!("{what} ")).nth(1);
+    after.and_then(|rest| rest.split([',', ';']).next()).map_or(0, |n| n.parse().expect("a number"))
+}
+
+/// A walk over all that stand, with each beat, costs a proxy of tens of thousands more than all their lines do.
+#[test]
+fn no_beat_looks_after_circuits_at_rest_however_many_stand() {
+    const CIRCUITS: usize = 40;
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let standing: Vec<_> = (0..CIRCUITS).map(|_| program.settles(&server)).collect();
+    // Who says nothing is put out by the beat that comes two seconds later: some twenty have been by then.
+    assert_eq!(program.client().line(), "ERR");
+    for (client, mut at_server) in standing {
+        drop(client);
+        assert_eq!(at_server.line(), "");
+    }
+    let log = program.ends();
+    let looked_after = counted(&log, "circuits looked after");
+    assert!(counted(&log, "connections up") == CIRCUITS && looked_after < CIRCUITS, "{log}");
+}
+
+/// What waits is looked after all the same: one that is to leave, and whose server never ends the line it began.
+#[test]
+fn a_circuit_that_waits_is_looked_after_among_many_at_rest() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let resting: Vec<_> = (0..8).map(|_| program.settles(&server)).collect();
+    let (mut client, mut at_server) = program.settles(&server);
+    at_server.say("NEWS t");
+    client.say("M 1\r\n");
+    assert_eq!(at_server.line(), "M 1");
+    // Nothing comes back within three seconds: it is sent away, and 0.8 s later the line's end is no longer waited for.
+    assert_eq!(client.line(), "", "the piece of a line, and the end");
+    drop((resting, client, at_server));
+    let log = program.ends();
+    assert_eq!(counted(&log, "moved inside a line"), 1, "{log}");
+}
