Whole lists: who is absent is found by a set, not by a walk for each server

For every server known, all lines of a whole list were looked through.

A set of the names told is made once.

--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -13,7 +13,7 @@
 use shelfgrade::host::{CircuitId, Ending, Host, Listed, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -124,8 +124,8 @@
         whole: bool,
     ) {
         if whole {
-            let absent = |id: &ServerId| !lines.clone().any(|(line, _)| line.server == *id);
-            let gone = self.servers.iter().filter(|(id, _)| absent(id));
+            let told: BTreeSet<_> = lines.clone().map(|(line, _)| &line.server).collect();
+            let gone = self.servers.iter().filter(|(id, _)| !told.contains(id));
             gone.for_each(|(_, server)| server.standing.set(Standing::Gone));
         }
         for (line, dial) in lines {
--- a/src/record.rs
+++ b/src/record.rs
@@ -4,7 +4,7 @@
 use crate::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::{Rc, Weak};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -114,8 +114,8 @@
         }
         let mut servers = self.servers.borrow_mut();
         if whole {
-            let absent = |s: &&Rc<Server>| !lines.iter().any(|l| l.server == s.id);
-            servers.iter().filter(absent).for_each(|s| s.standing.set(Standing::Gone));
+            let told: BTreeSet<_> = lines.iter().map(|l| &l.server).collect();
+            servers.iter().filter(|s| !told.contains(&s.id)).for_each(|s| s.standing.set(Standing::Gone));
         }
         servers.retain(|s| s.standing.get() != Standing::Gone);
     }
