Trials: what standing circuits cost a process, and what decisions take, over size

`standing` starts one real process and holds both ends of up to as many circuits as its descriptors allow, at rest and with lines that are due by a schedule of their own; it prints processor time by the system's count, resident memory for each circuit, and how late lines are back. `SHELFGRADE_PROGRAM` names another build to be measured at the same points.

`decisions` times the decisions alone, before a host that does nothing, over circuits, groups and servers.

--- /dev/null
+++ b/crates/trials/src/decisions.rs
@@ -0,0 +1,238 @@
+//! The decisions alone, before a host that does nothing: what an arrival, an end, a message and a change of the list take
+//! with so many circuits standing at so many servers.
+
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
+use shelfgrade::choice::{Chooser, WarmUp};
+use shelfgrade::host::*;
+use shelfgrade::time::{Point, Span};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+/// The plan's, whose parts at one proxy are worked out here.
+pub const PROXIES: usize = 3800;
+pub const CONNECTIONS: usize = 260_000_000;
+pub const LARGEST_GROUP: usize = 100_000;
+/// What one proxy holds of the connections, and how many groups it sees.
+pub const CIRCUITS: usize = CONNECTIONS / PROXIES;
+pub const GROUPS: usize = 60_000;
+const ZONES: usize = 16;
+const KINDS: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub circuits: usize,
+    pub groups: usize,
+    pub servers: usize,
+}
+
+struct Idle;
+
+impl Host for Idle {
+    fn connect(&mut self, _: CircuitId, _: &ServerId, _: Span) {}
+    fn push_back(&mut self, _: CircuitId, _: Span) {}
+    fn forfeit(&mut self, _: CircuitId) {}
+    fn send_away(&mut self, _: CircuitId) {}
+    fn subscribe(&mut self) {}
+    fn probe(&mut self, _: &ServerId) -> bool {
+        false
+    }
+    fn wake(&mut self, _: Point) {}
+}
+
+/// Nanoseconds of each kind of event.
+#[derive(Default)]
+pub struct Took(BTreeMap<&'static str, Option<Histogram<u64>>>);
+
+impl Took {
+    fn takes<T>(&mut self, what: &'static str, event: impl FnOnce() -> T) -> T {
+        const MINUTE_NS: u64 = 60_000_000_000;
+        let began = Instant::now();
+        let result = event();
+        let ns = began.elapsed().as_nanos() as u64;
+        let kept = self.0.entry(what).or_default();
+        let kept = kept.get_or_insert_with(|| Histogram::new_with_bounds(1, MINUTE_NS, 3).expect("in order"));
+        kept.saturating_record(ns);
+        result
+    }
+
+    /// What most events of this kind took, whatever else the machine did meanwhile.
+    pub fn middle(&self, what: &str) -> u64 {
+        self.0.get(what).and_then(Option::as_ref).map_or(0, |kept| kept.value_at_quantile(0.5))
+    }
+
+    fn shown(&self) -> Value {
+        let kept = self.0.iter().filter_map(|(what, kept)| Some((*what, kept.as_ref()?)));
+        let shown = kept.map(|(what, kept)| {
+            let figures = json!({
+                "p50": kept.value_at_quantile(0.5),
+                "p99": kept.value_at_quantile(0.99),
+                "most": kept.max(),
+                "events": kept.len(),
+            });
+            (what.to_owned(), figures)
+        });
+        Value::Object(shown.collect())
+    }
+}
+
+/// One proxy's decisions with all its circuits standing.
+pub struct Decisions {
+    size: Size,
+    list: Vec<Listed>,
+    chooser: Chooser,
+    now: Point,
+    last_id: u64,
+    standing: VecDeque<u64>,
+    pub took: Took,
+    /// Bytes that each server and each circuit has added.
+    pub bytes: (f64, f64),
+}
+
+impl Decisions {
+    /// `allocated`: how many bytes are in use now.
+    pub fn begin(size: Size, allocated: impl Fn() -> usize) -> Self {
+        let list: Vec<_> = (0..size.servers).map(listed).collect();
+        let warm_up = WarmUp {
+            cold_from: 0.3,
+            cold_span: Span::millis(8600),
+            fall_multiple: 4.0,
+            all_hold: Some(CONNECTIONS as f64),
+            each_holds: 0.0,
+            proxies: PROXIES as f64,
+        };
+        let offering = Offering {
+            effect: Effect::Replayable,
+            soft_limit: Some(Span::millis(800)),
+            message_limit: Some(Span::millis(250)),
+        };
+        let must_ask_in = Some(Span::millis(10_000));
+        let chooser = Chooser::new(7, vec![offering], 4, Span::millis(2000), must_ask_in, warm_up);
+        let mut decisions = Decisions {
+            size,
+            list,
+            chooser,
+            now: Point::from_ms(60_000.0),
+            last_id: 0,
+            standing: VecDeque::with_capacity(size.circuits),
+            took: Took::default(),
+            bytes: (0.0, 0.0),
+        };
+        let empty = allocated();
+        decisions.chooser.start(&decisions.list, decisions.now, &mut Idle);
+        let listed = allocated();
+        for _ in 0..size.circuits {
+            decisions.last_id += 1;
+            let id = decisions.last_id;
+            decisions.standing.push_back(id);
+            decisions.with_arrival(id, false, |decisions, arrival| {
+                // As a hash spreads them.
+                let mix = arrival.circuit.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+                let at = decisions.list[mix as usize % decisions.size.servers].server.clone();
+                decisions.chooser.open_already(arrival, &at, decisions.now);
+            });
+        }
+        let held = allocated();
+        let part = |bytes: usize, of: usize| bytes as f64 / of.max(1) as f64;
+        decisions.bytes = (
+            part(listed.saturating_sub(empty), size.servers),
+            part(held.saturating_sub(listed), size.circuits),
+        );
+        decisions
+    }
+
+    /// The largest group has its part here, and the others share the rest.
+    fn with_arrival<T>(&mut self, id: u64, returned: bool, with: impl FnOnce(&mut Self, &Arrival) -> T) -> T {
+        let of_the_largest = LARGEST_GROUP * self.size.circuits / CONNECTIONS.max(1);
+        let place = id as usize % self.size.circuits.max(1);
+        let group = if place < of_the_largest { 0 } else { 1 + place % (self.size.groups - 1).max(1) };
+        let (key, group) = (format!("lift-{id}"), format!("g{group}"));
+        let arrival = Arrival {
+            circuit: CircuitId(id),
+            offering: Some(0),
+            key: Some(&key),
+            group: Some(&group),
+            patience_ends: self.now + Span::millis(4800),
+            mid_flow: false,
+            returned,
+            turn: None,
+            among: None,
+        };
+        with(self, &arrival)
+    }
+
+    /// So many circuits end, and as many come: every other one for the first time, and else back after a break.
+    pub fn turns_over(&mut self, circuits: usize) {
+        for turn in 0..circuits {
+            self.now = self.now + Span::millis(1);
+            let Some(over) = self.standing.pop_front() else { return };
+            let (chooser, now) = (&mut self.chooser, self.now);
+            self.took.takes("end", || {
+                chooser.ended(CircuitId(over), Ending::Finished, true, now, &mut Idle);
+            });
+            self.last_id += 1;
+            let (id, returned) = (self.last_id, turn % 2 == 1);
+            self.with_arrival(id, returned, |decisions, arrival| {
+                let Decisions { chooser, took, now, .. } = decisions;
+                let what = if returned { "arrival back" } else { "arrival" };
+                took.takes(what, || chooser.arrived(arrival, *now, &mut Idle));
+            });
+            self.now = self.now + Span::millis(1);
+            let (chooser, now) = (&mut self.chooser, self.now);
+            self.took.takes("stands", || chooser.stands(CircuitId(id), now));
+            self.standing.push_back(id);
+        }
+    }
+
+    /// So many notes of messages in time, and of messages that are late.
+    pub fn messages(&mut self, notes: usize) {
+        const LATE: [(&str, Span); 2] = [("message", Span::millis(5)), ("message late", Span::millis(800))];
+        for (what, delay) in LATE {
+            for note in 0..notes {
+                self.now = self.now + Span::millis(1000);
+                let id = self.standing[note * self.standing.len() / notes];
+                let (chooser, now) = (&mut self.chooser, self.now);
+                self.took.takes(what, || chooser.messages_take(CircuitId(id), delay, now, &mut Idle));
+            }
+        }
+    }
+
+    /// So many changes of the list: of one line, and the whole list told again.
+    pub fn lists(&mut self, changes: usize) {
+        for change in 0..changes {
+            self.now = self.now + Span::millis(100);
+            let (chooser, now) = (&mut self.chooser, self.now);
+            let at = change / 2 * 7919 % self.list.len();
+            let line = &mut self.list[at];
+            line.standing = if change % 2 == 0 { Standing::Draining } else { Standing::Active };
+            let line = std::slice::from_ref(line);
+            self.took.takes("line", || chooser.listed(line, false, now));
+            self.took.takes("whole list", || chooser.listed(&self.list, true, now));
+        }
+        let (chooser, now) = (&mut self.chooser, self.now);
+        (0..changes).for_each(|_| self.took.takes("round", || chooser.look_round(true, now, &mut Idle)));
+    }
+
+    pub fn point(&self) -> Value {
+        json!({
+            "trial": "decisions",
+            "circuits": self.size.circuits,
+            "groups": self.size.groups,
+            "servers": self.size.servers,
+            "bytes_a_server": self.bytes.0.round(),
+            "bytes_a_circuit": self.bytes.1.round(),
+            "ns": self.took.shown(),
+        })
+    }
+}
+
+fn listed(index: usize) -> Listed {
+    Listed {
+        server: format!("s-{index:05}").into(),
+        zone: format!("z{:02}", index % ZONES),
+        kind: format!("m{}", index % KINDS),
+        cell: 0,
+        started: None,
+        standing: Standing::Active,
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -3,10 +3,12 @@
 //! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed. The rest
 //! starts real processes on loopback: [`process`] the program itself, [`server`], [`discovery`], [`clients`] and
 //! [`relay`] stand-ins for what is round it, [`record`] what they saw, [`checks`] what must hold of that, [`rogue`] a
-//! proxy that is wrong on purpose, and [`trial`] all of it together.
+//! proxy that is wrong on purpose, and [`trial`] all of it together. What a size costs is measured by [`standing`], one
+//! real process with many circuits, and [`decisions`], the decisions alone.
 
 pub mod checks;
 pub mod clients;
+pub mod decisions;
 pub mod discovery;
 pub mod drawn;
 pub mod process;
@@ -14,6 +16,7 @@
 pub mod relay;
 pub mod rogue;
 pub mod server;
+pub mod standing;
 pub mod trial;
 
 use std::net::SocketAddr;
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -16,8 +16,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// The program, built as these tests are; built now where it is not.
+/// The program, built as these tests are; built now where it is not. `SHELFGRADE_PROGRAM` names another one, to measure
+/// it at the same points.
 pub fn program() -> PathBuf {
+    if let Some(other) = std::env::var_os("SHELFGRADE_PROGRAM") {
+        return other.into();
+    }
     static BUILT: Once = Once::new();
     let tests = std::env::current_exe().expect("this program's path");
     let folder = tests.ancestors().find(|path| path.ends_with("debug") || path.ends_with("release"));
@@ -41,8 +45,20 @@
     pub fleet: bool,
     /// The list that they are started with.
     pub known: String,
+    pub limits: Limits,
+    /// Whether they may ask servers for signs of life.
+    pub probes: bool,
+}
+
+/// What a process may take of its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: u64,
 }
 
+pub const LIMITS: Limits = Limits { memory_mb: 64, sockets: 1024 };
+
 pub struct Process {
     pub name: String,
     pub index: usize,
@@ -90,7 +106,17 @@
             state.display()
         );
         fs::write(self.fleet_file(), fleet).expect("its fleet file");
-        fs::write(self.start_file(), start_file(self, given, names.len())).expect("its start-up file");
+        self.write_start_file(given, names.len());
+    }
+
+    /// For one of so many processes.
+    pub fn write_start_file(&self, given: &Given, size: usize) {
+        fs::write(self.start_file(), start_file(self, given, size)).expect("its start-up file");
+    }
+
+    /// The system's number of it, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
     }
 
     pub fn starts(&mut self, given: &Given) {
@@ -148,13 +174,14 @@
     let (classes, customers) =
         (classes.collect::<Vec<_>>().join(","), customers.collect::<Vec<_>>().join(","));
     let Make { room, cold_from, cold, factor, window, .. } = given.make;
+    let (Limits { memory_mb, sockets }, probes) = (given.limits, given.probes);
     let (name, listen, discovery) = (&process.name, process.listen, given.discovery);
     let seed = 0x8c1f_30d2_7a5b_e964_u64.wrapping_add(process.index as u64 * 0x9e37_79b9);
     format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:x}",
-"limits":{{"cores":1.0,"memory_mb":64,"sockets":1024}},"known":{},
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},
 "settings":{{"balancers":{size},"discovery":"subscribe","offerings":[{classes}],"customers":[{customers}],
-"bounds":{{"most_connects":4,"max_retry_after_ms":2000,"dial_timeout_ms":250,"probes":true}},
+"bounds":{{"most_connects":4,"max_retry_after_ms":2000,"dial_timeout_ms":250,"probes":{probes}}},
 "invariants":{{"overload_factor":{factor},"overload_for_ms":{},"cold_from":{cold_from},"cold_ms":{},
 "must_ask_in_ms":10000,"stop_sending_within_ms":400}},
 "extra":{{"message_aim_ms":[250,250,250,250],"server_connections":{room}}}}}}}"#,
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -3,7 +3,7 @@
 use crate::checks;
 use crate::clients::Clients;
 use crate::discovery::Discovery;
-use crate::process::{known, Front, Given, Process};
+use crate::process::{known, Front, Given, Process, LIMITS};
 use crate::record::Record;
 use crate::relay::Relay;
 use crate::server::{Make, Server, MAKE};
@@ -61,6 +61,8 @@
             make: shape.make,
             fleet: shape.fleet,
             known: known(&servers),
+            limits: LIMITS,
+            probes: true,
         };
         let processes: Vec<_> = (0..shape.processes).map(|index| Process::new(index, &given)).collect();
         let names: Vec<_> = processes.iter().map(|process| process.name.clone()).collect();
--- /dev/null
+++ b/crates/trials/tests/standing.rs
@@ -0,0 +1,25 @@
+//! What standing circuits cost one real process, in the small: its shape, and not its size. The example of the same name
+//! measures.
+
+use shelfgrade_trials::process::Limits;
+use shelfgrade_trials::standing::{Size, Standing};
+use std::time::Duration;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn memory_grows_with_circuits_by_as_much_for_each_and_a_line_costs_no_more_among_many() {
+    let mut points = Vec::new();
+    for circuits in [60, 420] {
+        let size = Size { circuits, servers: 4, limits: Limits { memory_mb: 64, sockets: 1024 } };
+        let standing = Standing::begin(size).await;
+        let point = standing.point(Duration::from_secs(2), Some(Duration::from_millis(500))).await;
+        println!("{point}");
+        let figure = |name: &str| point[name].as_f64().expect("a figure");
+        points.push((figure("bytes_each"), figure("core_us_a_line")));
+        let log = standing.ends().await;
+        assert!(log.contains("broken assertions 0"), "{log}");
+    }
+    let [few, many] = points[..] else { panic!("two points") };
+    assert!(many.0 < 1.5 * few.0 && few.0 < 2.0 * many.0, "memory each: {points:?}");
+    // What it spends at rest is shared by more lines there, and so a line is cheaper, if anything.
+    assert!(many.1 < 1.5 * few.1, "processor time a line: {points:?}");
+}
