Ids: one that is open is refused however many came since

`Door::is_new` remembers the last 4,096 ids, which was said to be more than a proxy has open. One that holds more, or the same ones for long, took the id of a standing circuit for new once 4,096 others had come: shown by a story on sockets, in which it was handed to a server. The ids of circuits that are here are kept beside, and go with them.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -70,7 +70,9 @@
                 self.refuse("BUSY", "pushed back for want of descriptors", proxy);
             }
             Some(_) if proxy.has_closed() => self.refuse("BUSY", "pushed back at the end", proxy),
-            Some(open) if !proxy.door.is_new(open.id) => self.refuse("ERR", "ids in use", proxy),
+            Some(open) if !proxy.door.is_new(open.id, &proxy.hands.open_ids) => {
+                self.refuse("ERR", "ids in use", proxy)
+            }
             Some(open) => {
                 proxy.door.forget(self);
                 proxy.open(open, self.socket.clone());
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -151,7 +151,6 @@
         proxy.hands.tally.complain("long lines");
         self.server_ended(End::Fin, ending, proxy);
         self.enter(Stage::Leaving, proxy.now());
-        proxy.hands.due.add(self);
     }
 
     /// Sends the client away as soon as the server's last line has ended; true once that is done.
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -48,13 +48,13 @@
         self.callers.remove(&caller.number.get());
     }
 
-    /// Whether this id, which is to be new with every connection, has not come of late. Guards against one id
-    /// for two: servers answer the second with an error, which would count against their health.
-    pub fn is_new(&mut self, id: u64) -> bool {
-        // More than a proxy has open, and some minutes of clients that come again as soon as they are told off.
+    /// Whether this id, which is to be new with every connection, is not open and has not come of late. Guards
+    /// against one id for two: servers answer the second with an error, which would count against their health.
+    pub fn is_new(&mut self, id: u64, open: &BTreeSet<u64>) -> bool {
+        // Some minutes of clients that come again as soon as they are told off.
         const REMEMBERED: usize = 4096;
         let (order, known) = &mut self.ids;
-        if !known.insert(id) {
+        if open.contains(&id) || !known.insert(id) {
             return false;
         }
         order.push_back(id);
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -29,6 +29,8 @@
     pub servers: BTreeMap<ServerId, Rc<Server>>,
     /// The door: from the module's names to connections.
     pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    /// The ids that these came with.
+    pub open_ids: BTreeSet<u64>,
     /// Those that are looked after with each beat, and those whose client waits for something to come back.
     pub due: Due,
     pub unanswered: Due,
@@ -60,6 +62,7 @@
             clock: Clock::start(),
             servers: BTreeMap::new(),
             circuits: BTreeMap::new(),
+            open_ids: BTreeSet::new(),
             due: Due::default(),
             unanswered: Due::default(),
             last_id: 0,
@@ -105,6 +108,7 @@
 
     pub fn forget(&mut self, circuit: &Circuit) {
         self.circuits.remove(&circuit.id);
+        self.open_ids.remove(&circuit.opening.id);
     }
 
     /// Has a circuit go on after the others had their turn.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -187,6 +187,7 @@
             weak.upgrade().inspect(|circuit| circuit.ready(proxy));
         });
         self.hands.circuits.insert(circuit.id, circuit.clone());
+        self.hands.open_ids.insert(circuit.opening.id);
         self.discovery.clone().look(self);
         if circuit.is_taken_over() {
             self.hands.due.add(&circuit);
--- a/crates/proxy/tests/sockets/rest.rs
+++ b/crates/proxy/tests/sockets/rest.rs
@@ -1,6 +1,6 @@
 //! Stories of circuits at rest.
 
-use crate::stand::{Place, Program, USUAL};
+use crate::stand::{within, Place, Program, LONG, USUAL};
 
 /// What the log counts under this name; a counter that never moved is left out.
 fn counted(log: &str, what: &str) -> usize {
@@ -42,3 +42,44 @@
     let log = program.ends();
     assert_eq!(counted(&log, "moved inside a line"), 1, "{log}");
 }
+
+/// One whose server ended it, and whose client never ends its own side, keeps no descriptors for long.
+#[test]
+fn a_circuit_that_is_over_is_looked_after_until_its_descriptors_are_free() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let _resting = program.settles(&server);
+    let before = program.descriptors();
+    let (mut client, at_server) = program.settles(&server);
+    at_server.finish();
+    assert_eq!(client.line(), "");
+    // One for discovery may have come meanwhile; the two sides are freed together.
+    within(LONG, || (program.descriptors() <= before + 1).then_some(()));
+    drop((client, at_server));
+    program.ends();
+}
+
+/// A proxy that holds tens of thousands for days is asked by many more meanwhile. Servers answer the second of one id with
+/// an error, which would count against their health.
+#[test]
+fn an_id_that_is_open_is_refused_however_many_came_since() {
+    const SINCE: usize = 4200;
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let opens = || {
+        let mut client = program.client();
+        client.say("OPEN 9b1f03ab00000001 lift-1 c=alarm,d=3000\r\n");
+        client
+    };
+    let mut resting = opens();
+    let (_its_server, _) = server.serve();
+    assert_eq!(resting.line(), "UP 0123");
+    // Its server takes no more, so that whoever comes is answered at once.
+    drop(server);
+    for _ in 0..SINCE {
+        program.opens("lift-2", ",d=3000").line();
+    }
+    assert_eq!(opens().line(), "ERR");
+    let log = program.ends();
+    assert_eq!(counted(&log, "ids in use"), 1, "{log}");
+}
