--- a/crates/trials/src/standing.rs
+++ b/crates/trials/src/standing.rs
@@ -224,8 +224,7 @@
         let (after, took) = (Spent::by(self.pid()), began.elapsed().as_secs_f64());
         let memory_each = self.memory_each();
         if every.is_some() {
-            // What is still out by then counts as never back.
-            sleep(Duration::from_secs(3)).await;
+            self.all_are_back(due).await;
             self.schedule.send_replace(None);
         }
         let core_us = (after.ns - before.ns) as f64 / 1000.0 / took;
@@ -260,6 +259,16 @@
         point
     }
 
+    /// Waits for the lines that are still out; who is out for so long counts as never back.
+    async fn all_are_back(&self, due_before: u64) {
+        const AT_MOST: Duration = Duration::from_secs(3);
+        let out = || self.seen.due.load(Ordering::Relaxed) - due_before > self.seen.late().len();
+        let until = Instant::now() + AT_MOST;
+        while out() && Instant::now() < until {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Told to end, it does so by itself; what it logged.
     pub async fn ends(mut self) -> String {
         self.process.signal(Signal::TERM);
