--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -3,6 +3,7 @@
 use crate::circuit::{Circuit, Stage, TAKE_OVER_WITHIN};
 use crate::client::busy;
 use crate::clock::{duration, Clock};
+use crate::due::Due;
 use crate::proxy::Proxy;
 use crate::server::{Connect, Server};
 use crate::start::Limits;
@@ -12,7 +13,7 @@
 use shelfgrade::host::{CircuitId, Ending, Host, Listed, ServerId, Standing};
 use shelfgrade::time::{Point, Span};
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -28,6 +29,11 @@
     pub servers: BTreeMap<ServerId, Rc<Server>>,
     /// The door: from the module's names to connections.
     pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
+    /// The ids that these came with.
+    pub open_ids: BTreeSet<u64>,
+    /// Those that are looked after with each beat, and those whose client waits for something to come back.
+    pub due: Due,
+    pub unanswered: Due,
     pub last_id: u64,
     /// What waits for the list to name the server that held it before the start.
     pub unplaced: Vec<Weak<Circuit>>,
@@ -56,6 +62,9 @@
             clock: Clock::start(),
             servers: BTreeMap::new(),
             circuits: BTreeMap::new(),
+            open_ids: BTreeSet::new(),
+            due: Due::default(),
+            unanswered: Due::default(),
             last_id: 0,
             unplaced: Vec::new(),
             list_heard: Cell::new(false),
@@ -129,6 +138,7 @@
 
     pub fn forget(&mut self, circuit: &Circuit) {
         self.circuits.remove(&circuit.id);
+        self.open_ids.remove(&circuit.opening.id);
     }
 
     /// Has a circuit go on after the others had their turn.
@@ -148,8 +158,8 @@
         whole: bool,
     ) {
         if whole {
-            let absent = |id: &ServerId| !lines.clone().any(|(line, _)| line.server == *id);
-            let gone = self.servers.iter().filter(|(id, _)| absent(id));
+            let told: BTreeSet<_> = lines.clone().map(|(line, _)| &line.server).collect();
+            let gone = self.servers.iter().filter(|(id, _)| !told.contains(id));
             gone.for_each(|(_, server)| server.standing.set(Standing::Gone));
         }
         for (line, dial) in lines {
@@ -250,6 +260,7 @@
             return;
         };
         circuit.leaving_line.set(Some(now));
+        self.due.add(circuit);
         if circuit.try_moving(now) {
             self.untold.push_back((circuit.id, Ending::CalledOff, true));
         }
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod passing;
 mod peers;
 mod ready;
+mod rest;
 mod room;
 mod stand;
 mod told;
