--- a/crates/fleet/src/compare.rs
+++ b/crates/fleet/src/compare.rs
@@ -66,7 +66,8 @@
 
     /// The entries with these short hashes, in one datagram.
     pub fn wanted(&self, keys: &[u32]) -> Vec<Entry> {
-        let entries = self.map.iter().filter(|entry| keys.contains(&state(entry).0));
+        let keys = keys.iter().copied().collect();
+        let entries = self.map.with_hashes(&keys).into_iter();
         packed(entries.cloned()).into_iter().next().unwrap_or_default()
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -128,7 +128,7 @@
     }
 
     /// Who is there, as far as this process sees, itself included, in the order of the roster.
-    pub fn alive(&self) -> Vec<Seat> {
+    pub fn alive(&self) -> &[Seat] {
         self.swim.alive()
     }
 
@@ -304,17 +304,18 @@
         self.swim.woke(now, &self.roster, &mut out);
         if now >= self.next_compare {
             self.next_compare = now + COMPARE[usize::from(now.since(self.began) >= NEW)];
-            let others: Vec<Seat> =
-                self.swim.alive().into_iter().filter(|seat| *seat != self.me.seat).collect();
-            if !others.is_empty() {
+            let alive = self.swim.alive();
+            if alive.len() > 1 {
                 let parts = self.known.borrow().map.digest().to_vec();
-                let at = nanorand::Rng::generate_range(&mut self.chance, 0..others.len());
-                out.send(others[at], Message::Digest { parts, answer: false });
+                let at = nanorand::Rng::generate_range(&mut self.chance, 0..alive.len() - 1);
+                // Any but this process itself.
+                let other = alive[at + usize::from(alive[at] >= self.me.seat)];
+                out.send(other, Message::Digest { parts, answer: false });
             }
         }
         if now >= self.next_ask {
             self.next_ask = now + RENEW;
-            for (witness, message) in self.rights.ask(&self.swim.alive(), now) {
+            for (witness, message) in self.rights.ask(self.swim.alive(), now) {
                 match message {
                     Message::Ask { number, units, releases } if witness == self.me.seat => {
                         let units = self.rights.asked_by(self.me, number, (&units, &releases), now);
--- a/crates/fleet/src/map.rs
+++ b/crates/fleet/src/map.rs
@@ -6,8 +6,9 @@
 
 use crate::roster::Seat;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
+use std::rc::Rc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// The longest key and value, in bytes: an entry has to fit in one datagram with what is round it.
@@ -69,9 +70,11 @@
 }
 
 pub struct Map {
-    entries: BTreeMap<String, Entry>,
+    entries: BTreeMap<Rc<str>, Entry>,
     /// The keys by the hashes that decide who stays.
-    places: BTreeMap<(u64, String), ()>,
+    places: BTreeSet<(u64, Rc<str>)>,
+    /// The keys of each part. Guards against hashing all keys for each part that is compared.
+    parts: [BTreeSet<Rc<str>>; BUCKETS],
     digest: [u64; BUCKETS],
     most: usize,
 }
@@ -79,7 +82,13 @@
 impl Map {
     /// `most`: how many entries it holds, deleted ones included.
     pub fn new(most: usize) -> Self {
-        Map { entries: BTreeMap::new(), places: BTreeMap::new(), digest: [0; BUCKETS], most }
+        Map {
+            entries: BTreeMap::new(),
+            places: BTreeSet::new(),
+            parts: std::array::from_fn(|_| BTreeSet::new()),
+            digest: [0; BUCKETS],
+            most,
+        }
     }
 
     pub fn get(&self, key: &str) -> Option<&Entry> {
@@ -103,35 +112,49 @@
     }
 
     pub fn in_bucket(&self, of: usize) -> impl Iterator<Item = &Entry> {
-        self.entries.values().filter(move |entry| bucket(&entry.key) == of)
+        self.parts.get(of).into_iter().flatten().filter_map(|key| self.entries.get(key))
+    }
+
+    /// The entries with these short hashes of their keys, as in [`state`], in the order of their keys. A short hash
+    /// names its part too.
+    pub fn with_hashes(&self, wanted: &BTreeSet<u32>) -> Vec<&Entry> {
+        let parts: BTreeSet<usize> = wanted.iter().map(|hash| *hash as usize % BUCKETS).collect();
+        let entries = parts.into_iter().flat_map(|part| self.in_bucket(part));
+        let mut found: Vec<_> =
+            entries.filter(|entry| wanted.contains(&(place(&entry.key) as u32))).collect();
+        found.sort_unstable_by_key(|entry| &entry.key);
+        found
     }
 
     pub fn merge(&mut self, entry: Entry) -> Merged {
         if !entry.fits() {
             return Merged::OverBound;
         }
-        if let Some(held) = self.entries.get(&entry.key) {
+        if let Some(held) = self.entries.get(entry.key.as_str()) {
             if (held.version, &held.value, held.owner) >= (entry.version, &entry.value, entry.owner) {
                 return Merged::Known;
             }
         } else if self.entries.len() >= self.most {
-            let last = self.places.last_key_value().map(|(last, ())| last.clone());
-            let Some(last) = last.filter(|last| (place(&entry.key), &entry.key) < (last.0, &last.1)) else {
+            let last = self.places.last().cloned();
+            let Some(last) = last.filter(|last| (place(&entry.key), &*entry.key) < (last.0, &*last.1)) else {
                 return Merged::OverBound;
             };
             self.forget(&last.1);
         }
         self.forget(&entry.key);
         self.digest[bucket(&entry.key)] ^= entry.hash();
-        self.places.insert((place(&entry.key), entry.key.clone()), ());
-        self.entries.insert(entry.key.clone(), entry);
+        let key: Rc<str> = entry.key.as_str().into();
+        self.places.insert((place(&key), key.clone()));
+        self.parts[bucket(&key)].insert(key.clone());
+        self.entries.insert(key, entry);
         Merged::News
     }
 
     fn forget(&mut self, key: &str) {
-        if let Some(held) = self.entries.remove(key) {
-            self.digest[bucket(key)] ^= held.hash();
-            self.places.remove(&(place(key), held.key));
+        if let Some((key, held)) = self.entries.remove_entry(key) {
+            self.digest[bucket(&key)] ^= held.hash();
+            self.parts[bucket(&key)].remove(&key);
+            self.places.remove(&(place(&key), key));
         }
     }
 }
--- a/crates/fleet/src/rights.rs
+++ b/crates/fleet/src/rights.rs
@@ -11,9 +11,11 @@
 //! grants nothing for as long as a lease lasts.
 
 use crate::packet::Message;
-use crate::roster::{rank, Life, Seat};
+use crate::roster::{missing, rank, Life, Seat};
 use shelfgrade::time::{Point, Span};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 /// How long a unit is held without another word: four askings, so that losing three in a row costs nothing. It is also how
 /// long a fleet has its floors alone after a loss of power: with four seconds service took one and a half longer.
@@ -26,6 +28,8 @@
 const WITNESSES: usize = 5;
 /// How many units one process asks for: what it sends does not grow with what is dead.
 const MOST_UNITS: usize = 8;
+/// Of how many units the witnesses are remembered: those asked for, and some dozens that others ask this process for.
+const REMEMBERED: usize = 64;
 
 /// A unit that this process asks for, with when it asked each witness that has granted it.
 struct Claim {
@@ -52,6 +56,8 @@
     /// The last askings, with their numbers.
     asked: VecDeque<(u32, Point)>,
     last_number: u32,
+    /// Guards against ranking all seats for each datagram: finding a unit's witnesses takes a hash of every seat.
+    witnesses: RefCell<BTreeMap<u16, Rc<[Seat]>>>,
 }
 
 impl Rights {
@@ -64,6 +70,7 @@
             claims: BTreeMap::new(),
             asked: VecDeque::new(),
             last_number: 0,
+            witnesses: RefCell::default(),
         }
     }
 
@@ -74,7 +81,20 @@
     }
 
     /// The seats that grant a unit.
-    fn witnesses(&self, unit: u16) -> Vec<Seat> {
+    fn witnesses(&self, unit: u16) -> Rc<[Seat]> {
+        let mut remembered = self.witnesses.borrow_mut();
+        if let Some(seats) = remembered.get(&unit) {
+            return seats.clone();
+        }
+        if remembered.len() >= REMEMBERED {
+            remembered.clear();
+        }
+        let seats: Rc<[Seat]> = self.draws_witnesses(unit).into();
+        remembered.insert(unit, seats.clone());
+        seats
+    }
+
+    fn draws_witnesses(&self, unit: u16) -> Vec<Seat> {
         let mut seats: Vec<_> = (0..self.size as u16).map(Seat).collect();
         // An odd number: of an even one more than half would be as many.
         let number = WITNESSES.min(self.size - 1 + self.size % 2);
@@ -103,11 +123,14 @@
     pub fn ask(&mut self, alive: &[Seat], now: Point) -> Vec<(Seat, Message)> {
         // Enough that an answer four leases late still finds its asking.
         const ASKINGS: usize = 16;
-        let there = |unit: u16| alive.binary_search(&Seat(unit)).is_ok();
-        let first = |unit: u16| alive.iter().min_by_key(|seat| rank(u64::from(unit), **seat));
         let mine = self.me.seat;
-        let heir = |unit: &u16| !there(*unit) && first(*unit) == Some(&mine);
-        let wanted = std::iter::once(mine.0).chain((0..self.size as u16).filter(heir).take(MOST_UNITS - 1));
+        let before_me = |unit: u16, seat: &Seat| {
+            (rank(u64::from(unit), *seat), *seat) < (rank(u64::from(unit), mine), mine)
+        };
+        // Ends at the first one that comes before, mostly after a few: a region that is gone is hundreds of units.
+        let heir = |unit: &u16| !alive.iter().any(|seat| before_me(*unit, seat));
+        let missing = missing(alive, self.size).map(|seat| seat.0);
+        let wanted = std::iter::once(mine.0).chain(missing.filter(heir).take(MOST_UNITS - 1));
         let wanted: Vec<u16> = wanted.collect();
         let released: Vec<u16> = self.claims.keys().filter(|unit| !wanted.contains(unit)).copied().collect();
         released.iter().for_each(|unit| drop(self.claims.remove(unit)));
@@ -121,10 +144,10 @@
 
         let mut to: BTreeMap<Seat, (Vec<u16>, Vec<u16>)> = BTreeMap::new();
         for unit in &wanted {
-            self.witnesses(*unit).into_iter().for_each(|seat| to.entry(seat).or_default().0.push(*unit));
+            self.witnesses(*unit).iter().for_each(|seat| to.entry(*seat).or_default().0.push(*unit));
         }
         for unit in &released {
-            self.witnesses(*unit).into_iter().for_each(|seat| to.entry(seat).or_default().1.push(*unit));
+            self.witnesses(*unit).iter().for_each(|seat| to.entry(*seat).or_default().1.push(*unit));
         }
         let number = self.last_number;
         to.into_iter()
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,6 +1,7 @@
 //! Who may be part of the fleet: the same names in the same order at every process, for as long as the fleet runs.
 
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// A process's place in the roster.
@@ -28,14 +29,23 @@
     NotMe(String),
 }
 
-/// As many as a list of all of them still fits in a few datagrams.
-pub const MOST: usize = 1000;
+/// As many as a process can keep count of within what it has for control: what it sends is bounded whatever their number,
+/// and each costs it some sixty bytes (`docs/fleet.md`, Figures).
+pub const MOST: usize = 4096;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Roster {
+    shared: Arc<Shared>,
+    me: Seat,
+}
+
+/// What is the same at every process.
+#[derive(Debug, PartialEq, Eq)]
+struct Shared {
     fleet: String,
     names: Vec<String>,
-    me: Seat,
+    /// Guards against hashing all names for each datagram: it was half of what a fleet of a thousand cost at rest.
+    tag: u64,
 }
 
 impl Roster {
@@ -51,9 +61,17 @@
         if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
             return Err(RosterFault::Twice(twice[0].clone()));
         }
-        let seat = names.binary_search_by(|name| name.as_str().cmp(me));
+        let tag =
+            names.iter().fold(xxh3_64(fleet.as_bytes()), |tag, name| xxh3_64_with_seed(name.as_bytes(), tag));
+        let shared = Shared { fleet: fleet.to_owned(), names, tag };
+        Roster { shared: Arc::new(shared), me: Seat(0) }.seen_by(me)
+    }
+
+    /// The same roster at another of its processes, in one copy where both are in one program.
+    pub fn seen_by(&self, me: &str) -> Result<Self, RosterFault> {
+        let seat = self.shared.names.binary_search_by(|name| name.as_str().cmp(me));
         let seat = seat.map_err(|_| RosterFault::NotMe(me.to_owned()))?;
-        Ok(Roster { fleet: fleet.to_owned(), names, me: Seat(seat as u16) })
+        Ok(Roster { shared: self.shared.clone(), me: Seat(seat as u16) })
     }
 
     pub fn me(&self) -> Seat {
@@ -61,29 +79,34 @@
     }
 
     pub fn size(&self) -> usize {
-        self.names.len()
+        self.shared.names.len()
     }
 
     pub fn fleet(&self) -> &str {
-        &self.fleet
+        &self.shared.fleet
     }
 
     pub fn name(&self, seat: Seat) -> Option<&str> {
-        self.names.get(usize::from(seat.0)).map(String::as_str)
+        self.shared.names.get(usize::from(seat.0)).map(String::as_str)
     }
 
     pub fn seats(&self) -> impl Iterator<Item = Seat> {
-        (0..self.names.len() as u16).map(Seat)
+        (0..self.shared.names.len() as u16).map(Seat)
     }
 
     /// What tells this fleet from others, and from itself with another roster.
     pub fn tag(&self) -> u64 {
-        self.names
-            .iter()
-            .fold(xxh3_64(self.fleet.as_bytes()), |tag, name| xxh3_64_with_seed(name.as_bytes(), tag))
+        self.shared.tag
     }
 }
 
+/// The seats of a roster of so many that are not among those `alive`, which are in order; both in one walk.
+pub fn missing(alive: &[Seat], size: usize) -> impl Iterator<Item = Seat> + '_ {
+    let mut there = alive.iter().peekable();
+    let all = if alive.len() < size { 0..size as u16 } else { 0..0 };
+    all.map(Seat).filter(move |seat| there.next_if_eq(&seat).is_none())
+}
+
 /// Where a seat stands in the order of something: the same at every process.
 pub fn rank(of: u64, seat: Seat) -> u64 {
     xxh3_64_with_seed(&seat.0.to_le_bytes(), of)
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -1,7 +1,7 @@
 //! Who is there: SWIM with suspicion, by the library `foca`, which does no I/O; rumours of entries ride on its messages.
 
 use crate::map::{Entry, Map, Merged, Version};
-use crate::roster::{Life, Roster, Seat};
+use crate::roster::{missing, Life, Roster, Seat};
 use foca::{
     AccumulatingRuntime, BroadcastHandler, Config, Foca, Identity, Invalidates, OwnedNotification,
     PeriodicParams, PostcardCodec, Timer,
@@ -113,6 +113,9 @@
     timers: BTreeMap<(Point, u64), Timer<Life>>,
     last_timer: u64,
     me: Life,
+    /// Who is there, this process included, in the order of the roster. Guards against a list of all that is built anew
+    /// at each call: it follows what the library tells.
+    there: Vec<Seat>,
     /// Whom it has not met, in turns.
     invites: WyRand,
     next_invite: Point,
@@ -163,6 +166,7 @@
             timers: BTreeMap::new(),
             last_timer: 0,
             me,
+            there: vec![me.seat],
             invites: WyRand::new_seed(seed ^ 0x1f),
             next_invite: now,
             began: now,
@@ -170,12 +174,8 @@
     }
 
     /// Who is there, this process included, in the order of the roster.
-    pub fn alive(&self) -> Vec<Seat> {
-        let mut seats: Vec<_> = self.foca.iter_members().map(|member| member.id().seat).collect();
-        seats.push(self.me.seat);
-        seats.sort_unstable();
-        seats.dedup();
-        seats
+    pub fn alive(&self) -> &[Seat] {
+        &self.there
     }
 
     /// The life of who is there in a seat, as far as it is known.
@@ -217,8 +217,7 @@
         let (pause, most) =
             if now.since(self.began) < EARLY { (Span::millis(300), 3) } else { (Span::millis(3000), 1) };
         self.next_invite = now + pause;
-        let alive = self.alive();
-        let unmet: Vec<Seat> = roster.seats().filter(|seat| alive.binary_search(seat).is_err()).collect();
+        let unmet: Vec<Seat> = missing(&self.there, roster.size()).collect();
         for _ in 0..most.min(unmet.len()) {
             let seat = unmet[self.invites.generate_range(0..unmet.len())];
             let _ = self.foca.announce(Life { seat, born: 0 }, &mut self.runtime);
@@ -246,8 +245,19 @@
         }
         while let Some(news) = self.runtime.to_notify() {
             match news {
-                OwnedNotification::MemberUp(member) => around.came(member.seat),
-                OwnedNotification::MemberDown(member) => around.went(member.seat),
+                OwnedNotification::MemberUp(member) => {
+                    if let Err(at) = self.there.binary_search(&member.seat) {
+                        self.there.insert(at, member.seat);
+                    }
+                    around.came(member.seat);
+                }
+                OwnedNotification::MemberDown(member) => {
+                    let at = self.there.binary_search(&member.seat);
+                    if let Some(at) = at.ok().filter(|_| member.seat != self.me.seat) {
+                        self.there.remove(at);
+                    }
+                    around.went(member.seat);
+                }
                 OwnedNotification::Rejoin(life) => {
                     self.me = life;
                     around.renewed(life);
--- a/crates/recovery/src/comeback.rs
+++ b/crates/recovery/src/comeback.rs
@@ -162,8 +162,7 @@
     }
 
     fn look_at_the_askers(&mut self, now: Point, around: &mut dyn Around) {
-        let alive = self.fleet.alive();
-        let watches = self.asking.is_asker(&alive, now);
+        let watches = self.asking.is_asker(self.fleet.alive(), now);
         if watches != self.watches {
             self.watches = watches;
             self.answered = None;
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -1,9 +1,9 @@
 //! The program itself: real processes, each with files of its own, that are killed, stopped, woken and started again.
 
 use crate::clients::{CLASSES, CUSTOMERS};
-use crate::relay::Relay;
 use crate::server::{Make, Server};
 use nanorand::{Rng, WyRand};
+use rustix::param::{clock_ticks_per_second, page_size};
 use rustix::process::{kill_process, Pid, Signal};
 use std::fmt::Write as _;
 use std::fs::{self, File};
@@ -79,9 +79,10 @@
         self.folder.join("start.json")
     }
 
-    pub fn write_files(&self, given: &Given, relay: &Relay, names: &[String]) {
+    /// `all`: every process of the fleet, with the address where this one sends to it.
+    pub fn write_files(&self, given: &Given, all: &[(String, SocketAddr)]) {
         let mut fellows = String::new();
-        for (name, address) in names.iter().zip(relay.addresses(self.index)) {
+        for (name, address) in all {
             writeln!(fellows, "{name} = \"{address}\"").expect("text");
         }
         let state = self.state_dir();
@@ -90,7 +91,7 @@
             state.display()
         );
         fs::write(self.fleet_file(), fleet).expect("its fleet file");
-        fs::write(self.start_file(), start_file(self, given, names.len())).expect("its start-up file");
+        fs::write(self.start_file(), start_file(self, given, all.len())).expect("its start-up file");
     }
 
     pub fn starts(&mut self, given: &Given) {
@@ -109,6 +110,18 @@
         self.child.is_some()
     }
 
+    /// What the system counts as its processor time, and as its memory in bytes.
+    pub fn processor_and_memory(&self) -> Option<(Duration, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.as_ref()?.id()));
+        let stat = fs::read_to_string(folder.join("stat")).ok()?;
+        // Its name may have spaces; what follows it has none.
+        let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let pages = fields.get(21)?.parse::<u64>().ok()?;
+        let ticks = Duration::from_secs(ticks) / clock_ticks_per_second() as u32;
+        Some((ticks, pages * page_size() as u64))
+    }
+
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             let _ = kill_process(Pid::from_child(child), signal);
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -64,7 +64,10 @@
         };
         let processes: Vec<_> = (0..shape.processes).map(|index| Process::new(index, &given)).collect();
         let names: Vec<_> = processes.iter().map(|process| process.name.clone()).collect();
-        processes.iter().for_each(|process| process.write_files(&given, &relay, &names));
+        for process in &processes {
+            let addresses = relay.addresses(process.index);
+            process.write_files(&given, &names.iter().cloned().zip(addresses).collect::<Vec<_>>());
+        }
         let front = Front::begin(processes.iter().map(|process| process.listen).collect());
         Trial {
             shape,
