--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -30,7 +30,7 @@
 }
 
 /// As many as seats of two bytes and the trials at size go up to. Each costs a process about 150 bytes of memory, measured
-/// at 100, 300 and 3,800 with nothing shared but who is there; what it sends at rest is bounded (`docs/fleet.md`, Figures).
+/// from 100 to 3,800 with nothing shared but who is there; what it sends at rest is bounded (`docs/fleet.md`, Figures).
 pub const MOST: usize = 4096;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
