--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the fleet is tried with. Nothing here is part of the program.
 //!
-//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed. The rest
+//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed, and
+//! [`simulation`] thousands of them over regions and zones ([`topology`]), on some threads. The rest
 //! starts real processes on loopback: [`process`] the program itself, [`server`], [`discovery`], [`clients`] and
 //! [`relay`] stand-ins for what is round it, [`record`] what they saw, [`checks`] what must hold of that, [`rogue`] a
 //! proxy that is wrong on purpose, and [`trial`] all of it together. What a size costs is measured by [`standing`], one
@@ -11,12 +12,17 @@
 pub mod decisions;
 pub mod discovery;
 pub mod drawn;
+pub mod hollow;
 pub mod process;
 pub mod record;
+mod region;
 pub mod relay;
 pub mod rogue;
 pub mod server;
+pub mod simulation;
+pub mod sockets;
 pub mod standing;
+pub mod topology;
 pub mod trial;
 
 use std::net::SocketAddr;
