--- /dev/null
+++ b/crates/cells/src/mates.rs
@@ -0,0 +1,128 @@
+//! The others of a process's cell: who they are by the log, and which of them are alive by SWIM.
+
+use crate::packet::Message;
+use crate::process::{Process, SPEAKERS};
+use crate::swim::{Id, Sends, Swim};
+use crate::{rank, Surroundings};
+use nanorand::Rng;
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Mate {
+    pub name: String,
+    pub address: SocketAddr,
+    pub place: u16,
+    pub incarnation: u32,
+    pub rank: u64,
+    pub alive: bool,
+}
+
+impl Process {
+    pub(crate) fn heard_swim(
+        &mut self,
+        from: SocketAddr,
+        bytes: &[u8],
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) {
+        if !self.mates.iter().any(|mate| mate.address == from) {
+            return around.refused("cells membership from strangers");
+        }
+        let Some(swim) = &mut self.swim else { return };
+        let mut sends = Vec::new();
+        if !swim.heard(bytes, now, &mut sends) {
+            around.refused("cells membership not to be read");
+        }
+        self.carry(sends, around);
+    }
+
+    pub(crate) fn carry(&mut self, sends: Sends, around: &mut dyn Surroundings) {
+        for (place, bytes) in sends {
+            if let Some(mate) = self.mates.iter().find(|mate| mate.place == place) {
+                self.send(mate.address, &Message::Swim(bytes), around);
+            }
+        }
+        if self.swim.as_mut().is_some_and(Swim::changed) {
+            self.know_alive();
+        }
+    }
+
+    /// From now on it has a part: the log is whole here, with this very life in it.
+    pub(crate) fn begin(&mut self, now: Point) {
+        let own =
+            self.state().member(self.cell, &self.name).filter(|own| own.incarnation == self.incarnation);
+        let Some(place) = own.map(|own| own.place) else { return };
+        self.active = true;
+        let me = Id { place, incarnation: self.incarnation, again: 0 };
+        self.swim = Some(Swim::new(me, self.mates.len(), self.seed));
+        self.invites = now;
+        self.began = now;
+        self.know_alive();
+    }
+
+    pub(crate) fn know_mates(&mut self) {
+        let cell = self.cell;
+        let others = self.follower.state().members(cell).filter(|(name, _)| *name != self.name);
+        self.mates = others
+            .map(|(name, member)| Mate {
+                name: name.to_owned(),
+                address: member.address,
+                place: member.place,
+                incarnation: member.incarnation,
+                rank: rank(cell, name),
+                alive: false,
+            })
+            .collect();
+        self.know_alive();
+    }
+
+    pub(crate) fn know_alive(&mut self) {
+        if let Some(swim) = &self.swim {
+            let alive: BTreeMap<u16, u32> = swim.alive().map(|id| (id.place, id.incarnation)).collect();
+            for mate in &mut self.mates {
+                mate.alive = alive.get(&mate.place) == Some(&mate.incarnation);
+            }
+        }
+        let mut ranked: Vec<_> = self.mates.iter().filter(|mate| mate.alive).collect();
+        ranked.sort_unstable_by_key(|mate| std::cmp::Reverse(mate.rank));
+        let mine = rank(self.cell, &self.name);
+        let above = ranked.iter().filter(|mate| mate.rank > mine).count();
+        self.speaks = self.active && above < SPEAKERS;
+        let count = if self.speaks { SPEAKERS - 1 } else { SPEAKERS };
+        self.speakers = ranked.iter().take(count).map(|mate| mate.address).collect();
+    }
+
+    /// Some of the cell, those alive where any are.
+    pub(crate) fn others(&mut self, count: usize) -> Vec<SocketAddr> {
+        let alive: Vec<_> = self.mates.iter().filter(|mate| mate.alive).map(|mate| mate.address).collect();
+        let mut from =
+            if alive.is_empty() { self.mates.iter().map(|mate| mate.address).collect() } else { alive };
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !from.is_empty() {
+            drawn.push(from.swap_remove(self.chance.generate_range(0..from.len())));
+        }
+        drawn
+    }
+
+    /// Guards against a cell that never finds together: those not met are asked, often in the first seconds.
+    pub(crate) fn invite(&mut self, now: Point, around: &mut dyn Surroundings) {
+        const EARLY: Span = Span::millis(3000);
+        if now < self.invites || self.swim.is_none() {
+            return;
+        }
+        self.invites =
+            now + if now.since(self.began) < EARLY { Span::millis(500) } else { Span::millis(5000) };
+        let unmet: Vec<_> = self.mates.iter().filter(|mate| !mate.alive).map(|mate| mate.place).collect();
+        if unmet.is_empty() {
+            return;
+        }
+        let place = unmet[self.chance.generate_range(0..unmet.len())];
+        let mut sends = Vec::new();
+        if let Some(swim) = &mut self.swim {
+            swim.invite(place, now, &mut sends);
+        }
+        self.carry(sends, around);
+    }
+}
--- /dev/null
+++ b/crates/cells/src/process.rs
@@ -0,0 +1,366 @@
+//! A process of the fleet: its own cell whole, all entries, and one record of each other cell.
+
+use crate::follow::Follower;
+use crate::mates::Mate;
+use crate::packet::{self, Message};
+use crate::rate::Rate;
+use crate::record::{CellId, Change, Key, Record, Scope, Version};
+use crate::rights::Acks;
+use crate::roster::Peers;
+use crate::state::{Delta, DeltaFault, Merged, State};
+use crate::swim::Swim;
+use crate::{rank, Surroundings};
+use nanorand::{Rng, WyRand};
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What it sends in answers and pushes, in bytes a second: with the membership and the pulls it stays under 4 KB.
+const ANSWERS: f64 = 2200.0;
+const AT_ONCE: f64 = 4400.0;
+/// To how many of the cell what is new is pushed on, once.
+const FANOUT: usize = 2;
+/// How many speak for a cell.
+pub(crate) const SPEAKERS: usize = 3;
+/// How often who speaks pulls from a replica.
+const SPEAK: Span = Span::millis(500);
+const COMPARE: Span = Span::millis(1000);
+/// How often one pulls that knows it lacks something.
+const BEHIND: Span = Span::millis(300);
+const START: Span = Span::millis(150);
+/// When a pull that was not answered goes to another.
+const SILENCE: Span = Span::millis(400);
+const SUBMIT: Span = Span::millis(1500);
+
+/// What a process starts with.
+pub struct Start {
+    pub fleet: String,
+    pub cell: CellId,
+    pub region: u8,
+    pub name: String,
+    /// Greater at each start: microseconds would do, seconds of Unix time do too.
+    pub incarnation: u32,
+    pub replicas: Peers,
+    /// What an earlier life had kept; it gives no right.
+    pub kept: Option<Kept>,
+    pub seed: u64,
+}
+
+/// What a process may keep on disk for its next start.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Kept {
+    pub records: Vec<Record>,
+    pub to: Version,
+    pub horizon: Version,
+}
+
+pub struct Process {
+    pub(crate) fleet: u64,
+    pub(crate) cell: CellId,
+    pub(crate) name: String,
+    pub(crate) incarnation: u32,
+    /// In the order in which they are asked.
+    pub(crate) replicas: Vec<SocketAddr>,
+    pub(crate) follower: Follower,
+    /// Since it started it held the log whole with its own record in it.
+    pub(crate) active: bool,
+    pub(crate) swim: Option<Swim>,
+    pub(crate) mates: Vec<Mate>,
+    pub(crate) speakers: Vec<SocketAddr>,
+    pub(crate) speaks: bool,
+    pub(crate) pulls: Point,
+    pub(crate) waits: Option<(SocketAddr, Point)>,
+    pub(crate) source: usize,
+    pub(crate) invites: Point,
+    pub(crate) began: Point,
+    pub(crate) rate: Rate,
+    pub(crate) pending: BTreeMap<u64, (Change, Point, usize)>,
+    pub(crate) acks: Acks,
+    pub(crate) chance: WyRand,
+    pub(crate) seed: u64,
+}
+
+impl Process {
+    pub fn new(start: Start, now: Point) -> Self {
+        let mut order: Vec<_> = start.replicas.iter().map(|(_, peer)| *peer).collect();
+        let far = |region: u8| region != start.region;
+        order.sort_by_key(|peer| (far(peer.region), rank(start.cell, &peer.address.to_string())));
+        let mut state = State::new(Scope::Cell(start.cell));
+        if let Some(kept) = start.kept {
+            for record in kept.records {
+                if record.version <= kept.to && state.scope().has(&record.key) {
+                    state.set(record);
+                }
+            }
+            state.reach(kept.to);
+            state.forget(kept.horizon);
+        }
+        let mut process = Process {
+            fleet: packet::fleet(&start.fleet),
+            cell: start.cell,
+            name: start.name,
+            incarnation: start.incarnation,
+            replicas: order.iter().map(|peer| peer.address).collect(),
+            follower: Follower::new(state),
+            active: false,
+            swim: None,
+            mates: Vec::new(),
+            speakers: Vec::new(),
+            speaks: false,
+            pulls: now,
+            waits: None,
+            source: 0,
+            invites: now,
+            began: now,
+            rate: Rate::new(ANSWERS, AT_ONCE, now),
+            pending: BTreeMap::new(),
+            acks: Acks::default(),
+            chance: WyRand::new_seed(start.seed ^ 0xce11),
+            seed: start.seed,
+        };
+        process.know_mates();
+        process
+    }
+
+    pub fn state(&self) -> &State {
+        self.follower.state()
+    }
+
+    /// For the next start.
+    pub fn kept(&self) -> Kept {
+        let state = self.state();
+        let records = state.records().filter(|record| record.version <= state.to()).cloned().collect();
+        // Records that came ahead are left out; what they replaced is told again.
+        let to = if state.whole() { state.to() } else { Version(0) };
+        Kept { records, to, horizon: state.horizon().min(to) }
+    }
+
+    /// True where it holds the log whole with its own record in it.
+    pub fn active(&self) -> bool {
+        self.active
+    }
+
+    /// Names of those of the cell that are there, itself left out.
+    pub fn alive(&self) -> impl Iterator<Item = &str> {
+        self.mates.iter().filter(|mate| mate.alive).map(|mate| mate.name.as_str())
+    }
+
+    pub fn speaks(&self) -> bool {
+        self.speaks
+    }
+
+    pub(crate) fn send(&self, to: SocketAddr, message: &Message, around: &mut dyn Surroundings) {
+        around.send(to, packet::write(self.fleet, message));
+    }
+
+    /// Sends where the rate has room; true where it went.
+    fn send_within(
+        &mut self,
+        to: SocketAddr,
+        message: &Message,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) -> bool {
+        let datagram = packet::write(self.fleet, message);
+        let room = self.rate.take(datagram.len(), now);
+        if room {
+            around.send(to, datagram);
+        }
+        room
+    }
+
+    /// Has a change put into the log, by whichever replica answers.
+    pub fn submit(&mut self, change: Change, now: Point, around: &mut dyn Surroundings) {
+        if self.pending.contains_key(&change.id) {
+            return;
+        }
+        if let Some(to) = self.replicas.get(self.source % self.replicas.len().max(1)) {
+            self.send(*to, &Message::Submit(change.clone()), around);
+        }
+        self.pending.insert(change.id, (change, now + SUBMIT, self.source + 1));
+    }
+
+    pub fn heard(&mut self, from: SocketAddr, datagram: &[u8], now: Point, around: &mut dyn Surroundings) {
+        let message = match packet::read(self.fleet, datagram) {
+            Ok(message) => message,
+            Err(fault) => return around.refused(fault.name()),
+        };
+        match message {
+            Message::Swim(bytes) => self.heard_swim(from, &bytes, now, around),
+            Message::Pull { scope, after, anew } => {
+                if !self.state().scope().covers(scope) {
+                    return around.refused("cells pulls of another cell");
+                }
+                if after > self.state().to() {
+                    self.follower.state_mut().heard_of(after);
+                    if self.waits.is_none() {
+                        self.pull_from(from, now, around);
+                    }
+                }
+                let delta = self.state().answer(scope, after, anew);
+                self.send_within(from, &Message::Delta(delta), now, around);
+            }
+            Message::Delta(delta) => {
+                let answers = self.waits.is_some_and(|(asked, _)| asked == from);
+                if answers {
+                    self.waits = None;
+                }
+                self.take(from, &delta, answers, now, around);
+            }
+            Message::Push(delta) => {
+                let whole = delta.after > Version(0);
+                if whole {
+                    self.take(from, &delta, false, now, around);
+                }
+                if !self.state().whole() && self.waits.is_none() && self.active {
+                    self.pull_from(from, now, around);
+                }
+            }
+            Message::Ack { cell, name, incarnation, version } => {
+                if cell == self.cell {
+                    self.acks.heard(name, incarnation, version);
+                    self.release(now, around);
+                } else {
+                    around.refused("cells acks of another cell");
+                }
+            }
+            Message::Outcome { id, outcome } => {
+                if self.replicas.contains(&from) && self.pending.remove(&id).is_some() {
+                    around.outcome(id, outcome);
+                }
+            }
+            Message::Submit(_) | Message::Paxos(_) => around.refused("cells datagrams for replicas"),
+        }
+    }
+
+    fn take(
+        &mut self,
+        from: SocketAddr,
+        delta: &Delta,
+        asked: bool,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) {
+        let merged = match self.follower.take(delta) {
+            Ok(merged) => merged,
+            Err(DeltaFault::Gap) => Merged::default(),
+            Err(DeltaFault::Disorder) => return around.refused("cells answers out of order"),
+            Err(DeltaFault::Fork) => return around.refused("cells answers with a fork"),
+        };
+        merged.news.iter().for_each(|record| around.news(record));
+        let own = |record: &Record| matches!(&record.key, Key::Member(cell, _) if *cell == self.cell);
+        if merged.news.iter().any(own) {
+            self.know_mates();
+        }
+        if !self.active && self.state().whole() {
+            self.begin(now);
+        }
+        if merged.further && asked && delta.to < delta.head {
+            self.pull_from(from, now, around);
+        }
+        // Once, and only what is all that is missing: the rest is found by comparing.
+        let fresh = !merged.news.is_empty() && delta.after > Version(0) && self.state().whole();
+        if fresh && self.active && self.rate.left(now) > 0.5 {
+            let mates: Vec<_> = self.others(FANOUT);
+            for mate in mates {
+                self.send_within(mate, &Message::Push(delta.clone()), now, around);
+            }
+        }
+        if merged.further {
+            self.release(now, around);
+        }
+    }
+
+    fn pull_from(&mut self, to: SocketAddr, now: Point, around: &mut dyn Surroundings) {
+        self.waits = Some((to, now + SILENCE));
+        let pull = self.follower.pull();
+        self.send(to, &pull, around);
+    }
+
+    fn starts(&self) -> bool {
+        !self.active || self.follower.renews()
+    }
+
+    /// Whom to ask next: replicas for one that starts or speaks, the cell for the others.
+    fn source(&mut self) -> Option<SocketAddr> {
+        let replica = self.replicas.get(self.source % self.replicas.len().max(1)).copied();
+        let mate_too = self.starts() && self.source % 2 == 1 && !self.mates.is_empty();
+        if (self.speaks || self.starts()) && !mate_too {
+            return replica;
+        }
+        let behind = !self.state().whole();
+        if behind && !self.speakers.is_empty() && self.chance.generate_range(0..4u32) == 0 {
+            return Some(self.speakers[self.chance.generate_range(0..self.speakers.len())]);
+        }
+        self.others(1).pop().or(replica)
+    }
+
+    /// To be called when [`Process::next`] says so, or more often.
+    pub fn woke(&mut self, now: Point, around: &mut dyn Surroundings) {
+        if let Some(swim) = &mut self.swim {
+            let mut sends = Vec::new();
+            swim.woke(now, &mut sends);
+            self.carry(sends, around);
+        }
+        if let Some((asked, until)) = self.waits {
+            if now >= until {
+                self.waits = None;
+                if self.replicas.contains(&asked) || self.starts() {
+                    self.source += 1;
+                }
+                self.pulls = now;
+            }
+        }
+        if now >= self.pulls {
+            let behind = !self.state().whole();
+            let pause = match (self.starts(), self.speaks, behind) {
+                (true, ..) => START,
+                (_, true, _) => SPEAK,
+                (_, _, true) => BEHIND,
+                _ => COMPARE,
+            };
+            // Not all at the same moment.
+            let drawn = 0.9 + 0.2 * f64::from(self.chance.generate_range(0..1000u32)) / 1000.0;
+            self.pulls = now + pause.times(drawn);
+            if self.waits.is_none() {
+                if let Some(to) = self.source() {
+                    self.pull_from(to, now, around);
+                }
+            }
+            self.acknowledge(around);
+        }
+        self.invite(now, around);
+        self.send_pending(now, around);
+    }
+
+    fn send_pending(&mut self, now: Point, around: &mut dyn Surroundings) {
+        let due: Vec<u64> =
+            self.pending.iter().filter(|(_, (_, at, _))| now >= *at).map(|(id, _)| *id).collect();
+        for id in due {
+            let Some((change, at, tries)) = self.pending.get_mut(&id) else { continue };
+            *at = now + SUBMIT;
+            *tries += 1;
+            let (message, to) = (Message::Submit(change.clone()), *tries % self.replicas.len().max(1));
+            if let Some(to) = self.replicas.get(to) {
+                around.send(*to, packet::write(self.fleet, &message));
+            }
+        }
+    }
+
+    pub fn next(&self) -> Point {
+        let swim = self.swim.as_ref().map_or(Point::NEVER, Swim::next);
+        let waits = self.waits.map_or(Point::NEVER, |(_, until)| until);
+        let pending = self.pending.values().map(|(_, at, _)| *at).min().unwrap_or(Point::NEVER);
+        let invites = if self.swim.is_some() { self.invites } else { Point::NEVER };
+        swim.min(waits).min(self.pulls).min(pending).min(invites)
+    }
+
+    /// Tells the cell that it goes.
+    pub fn leave(&mut self, now: Point, around: &mut dyn Surroundings) {
+        let mut sends = Vec::new();
+        if let Some(swim) = &mut self.swim {
+            swim.leave(now, &mut sends);
+        }
+        self.carry(sends, around);
+    }
+}
--- /dev/null
+++ b/crates/cells/src/rate.rs
@@ -0,0 +1,38 @@
+//! A bound on what is sent: so many bytes a second, and some at once.
+
+use shelfgrade::time::{Point, Span};
+
+pub struct Rate {
+    per_second: f64,
+    burst: f64,
+    left: f64,
+    at: Point,
+}
+
+impl Rate {
+    pub fn new(per_second: f64, burst: f64, now: Point) -> Self {
+        Rate { per_second, burst, left: burst, at: now }
+    }
+
+    fn fill(&mut self, now: Point) {
+        let gained = now.since(self.at).over(Span::millis(1000)) * self.per_second;
+        self.left = (self.left + gained).min(self.burst);
+        self.at = now;
+    }
+
+    /// Takes so many bytes, where there are that many.
+    pub fn take(&mut self, bytes: usize, now: Point) -> bool {
+        self.fill(now);
+        let enough = self.left >= bytes as f64;
+        if enough {
+            self.left -= bytes as f64;
+        }
+        enough
+    }
+
+    /// The part of what may be sent at once that is left.
+    pub fn left(&mut self, now: Point) -> f64 {
+        self.fill(now);
+        self.left / self.burst
+    }
+}
--- /dev/null
+++ b/crates/cells/src/replica.rs
@@ -0,0 +1,352 @@
+//! A replica of the log, on a machine that is set aside: takes changes, votes, learns what was chosen, answers pulls.
+
+use crate::apply::HORIZON;
+use crate::follow::Follower;
+use crate::packet::{self, Ballot, Message, Paxos};
+use crate::paxos::{Attempt, Queue};
+use crate::rate::Rate;
+use crate::record::{Batch, Change, ChangeFault, Key, Record, Scope, Version};
+use crate::roster::Peers;
+use crate::state::{DeltaFault, State};
+use crate::Surroundings;
+use nanorand::{Rng, WyRand};
+use serde::{Deserialize, Serialize};
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a replica sends in answers: a release of a zone's members, each taking all anew, is through in seconds.
+const ANSWERS: f64 = 256.0 * 1024.0;
+const PULL: Span = Span::millis(500);
+/// Batches that are kept as they were chosen, for those just behind and to tell forks.
+const RECENT: u64 = 256;
+
+/// The vote in the one slot that is open.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vote {
+    pub slot: u64,
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, Batch)>,
+}
+
+/// What is to be on disk; given back in its order at the next start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stored {
+    /// The operator founded a fleet with this replica.
+    Founded,
+    /// The storage was lost: no vote until it is known from which slot on.
+    Recovering,
+    VotesFrom(u64),
+    Vote(Vote),
+    Chosen {
+        slot: u64,
+        batch: Batch,
+    },
+    /// All there is; whatever was stored before it may go.
+    Checkpoint {
+        records: Vec<Record>,
+        to: Version,
+        horizon: Version,
+        votes_from: Option<u64>,
+        vote: Vote,
+    },
+}
+
+pub struct Replica {
+    pub(crate) fleet: u64,
+    pub(crate) id: u8,
+    pub(crate) peers: Peers,
+    horizon: u64,
+    pub(crate) follower: Follower,
+    pub(crate) vote: Vote,
+    /// The first slot that it may vote in; none while that isn't known.
+    pub(crate) votes_from: Option<u64>,
+    pub(crate) parts: BTreeMap<u8, u64>,
+    pub(crate) number: u64,
+    recent: BTreeMap<u64, Batch>,
+    pub(crate) queue: Queue,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) highest: u32,
+    pub(crate) retry: Point,
+    pulls: Point,
+    rate: Rate,
+    pub(crate) chance: WyRand,
+}
+
+impl Replica {
+    /// The first start of a fleet's replica, on the operator's word alone: an empty disk may be a lost one.
+    pub fn found(
+        name: &str,
+        peers: Peers,
+        id: u8,
+        seed: u64,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) -> Self {
+        around.store(Stored::Founded);
+        Replica { votes_from: Some(0), ..Self::empty(name, peers, id, seed, now) }
+    }
+
+    /// A further start, with what was stored. Nothing, or something that has a gap, is a lost disk.
+    pub fn restore(
+        name: &str,
+        peers: Peers,
+        id: u8,
+        seed: u64,
+        now: Point,
+        stored: Vec<Stored>,
+        around: &mut dyn Surroundings,
+    ) -> Self {
+        let mut replica = Self::empty(name, peers.clone(), id, seed, now);
+        if !stored.is_empty() && stored.into_iter().all(|stored| replica.remember(stored)) {
+            if replica.votes_from.is_some() {
+                return replica;
+            }
+        } else {
+            around.refused("cells storage lost, empty or with a gap");
+            replica = Self::empty(name, peers, id, seed, now);
+        }
+        around.store(Stored::Recovering);
+        replica
+    }
+
+    fn empty(name: &str, peers: Peers, id: u8, seed: u64, now: Point) -> Self {
+        let mut chance = WyRand::new_seed(seed ^ 0x9a05);
+        Replica {
+            fleet: packet::fleet(name),
+            id,
+            peers,
+            horizon: HORIZON,
+            follower: Follower::new(State::new(Scope::All)),
+            vote: Vote::default(),
+            votes_from: None,
+            parts: BTreeMap::new(),
+            number: chance.generate(),
+            recent: BTreeMap::new(),
+            queue: Queue::default(),
+            attempt: None,
+            highest: 0,
+            retry: now,
+            pulls: now,
+            rate: Rate::new(ANSWERS, 4.0 * ANSWERS, now),
+            chance,
+        }
+    }
+
+    /// With another horizon, the same at every replica of the fleet.
+    pub fn with_horizon(self, slots: u64) -> Self {
+        Replica { horizon: slots.max(8), ..self }
+    }
+
+    /// False where what is stored cannot have been stored so.
+    fn remember(&mut self, stored: Stored) -> bool {
+        match stored {
+            Stored::Founded => self.votes_from = Some(0),
+            Stored::Recovering => self.votes_from = None,
+            Stored::VotesFrom(slot) => self.votes_from = Some(slot),
+            Stored::Vote(vote) => self.vote = vote,
+            Stored::Chosen { slot, batch } => {
+                if slot != self.slot() + 1 {
+                    return false;
+                }
+                let horizon = self.horizon;
+                self.follower.state_mut().apply(slot, &batch, horizon);
+                self.recent.insert(slot, batch);
+            }
+            Stored::Checkpoint { records, to, horizon, votes_from, vote } => {
+                let mut state = State::new(Scope::All);
+                for record in records {
+                    state.set(record);
+                }
+                state.reach(to);
+                state.forget(horizon);
+                self.follower = Follower::new(state);
+                self.votes_from = votes_from;
+                self.vote = vote;
+            }
+        }
+        true
+    }
+
+    pub fn state(&self) -> &State {
+        self.follower.state()
+    }
+
+    /// The last slot that is known, with all before it.
+    pub fn slot(&self) -> u64 {
+        self.state().to().next().slot().saturating_sub(1)
+    }
+
+    /// True where it holds all up to the end of a slot, so that it can apply the next.
+    pub(crate) fn settled(&self) -> bool {
+        let state = self.state();
+        state.whole() && (state.to() == Version(0) || state.to() == Version::end_of(self.slot()))
+    }
+
+    /// What was chosen for a slot, where it is not long ago.
+    pub fn chosen(&self, slot: u64) -> Option<&Batch> {
+        self.recent.get(&slot)
+    }
+
+    /// True where it may vote again, or ever could.
+    pub fn votes(&self) -> bool {
+        self.votes_from.is_some_and(|from| self.slot() + 1 >= from)
+    }
+
+    pub(crate) fn send(&self, to: u8, message: Paxos, around: &mut dyn Surroundings) {
+        if let Some(peer) = self.peers.get(to) {
+            around.send(peer.address, packet::write(self.fleet, &Message::Paxos(message)));
+        }
+    }
+
+    fn reply(&mut self, to: SocketAddr, message: &Message, now: Point, around: &mut dyn Surroundings) {
+        let datagram = packet::write(self.fleet, message);
+        if self.rate.take(datagram.len(), now) {
+            around.send(to, datagram);
+        }
+    }
+
+    /// Takes a change of this machine's own.
+    pub fn submit(&mut self, change: Change, now: Point, around: &mut dyn Surroundings) {
+        self.take(change, None, now, around);
+    }
+
+    fn take(&mut self, change: Change, from: Option<SocketAddr>, now: Point, around: &mut dyn Surroundings) {
+        if self.state().get(&Key::Done(change.id)).is_some() {
+            self.tell(change.id, Err(ChangeFault::Again), from, now, around);
+        } else if !change.within_bounds() {
+            around.refused("cells changes over a bound");
+            self.tell(change.id, Err(ChangeFault::OverBound), from, now, around);
+        } else if !self.queue.push(change, from) {
+            around.refused("cells changes over the queue");
+        } else {
+            self.propose(now, around);
+        }
+    }
+
+    fn tell(
+        &mut self,
+        id: u64,
+        outcome: Result<(), ChangeFault>,
+        to: Option<SocketAddr>,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) {
+        match to {
+            Some(to) => self.reply(to, &Message::Outcome { id, outcome }, now, around),
+            None => around.outcome(id, outcome),
+        }
+    }
+
+    pub fn heard(&mut self, from: SocketAddr, datagram: &[u8], now: Point, around: &mut dyn Surroundings) {
+        match packet::read(self.fleet, datagram) {
+            Err(fault) => around.refused(fault.name()),
+            Ok(Message::Paxos(message)) => match self.peers.id(from) {
+                Some(from) => self.heard_paxos(from, message, now, around),
+                None => around.refused("cells votes from no replica"),
+            },
+            Ok(Message::Pull { scope, after, anew }) => {
+                let delta = self.state().answer(scope, after, anew);
+                self.reply(from, &Message::Delta(delta), now, around);
+            }
+            Ok(Message::Delta(delta)) => {
+                if self.peers.id(from).is_none() {
+                    return around.refused("cells answers from no replica");
+                }
+                match self.follower.take(&delta) {
+                    Ok(merged) => {
+                        if delta.to < delta.head && merged.further {
+                            self.pull(from, around);
+                        }
+                        if merged.further && self.settled() {
+                            self.caught_up(around);
+                        }
+                    }
+                    Err(DeltaFault::Gap) => {}
+                    Err(DeltaFault::Disorder) => around.refused("cells answers out of order"),
+                    Err(DeltaFault::Fork) => around.refused("cells answers with a fork"),
+                }
+                self.propose(now, around);
+            }
+            Ok(Message::Submit(change)) => self.take(change, Some(from), now, around),
+            Ok(Message::Outcome { id, outcome }) if self.peers.id(from).is_some() => {
+                if let Some(from) = self.queue.chosen(id) {
+                    self.tell(id, outcome, from, now, around);
+                }
+            }
+            Ok(_) => around.refused("cells datagrams for members"),
+        }
+    }
+
+    fn pull(&self, to: SocketAddr, around: &mut dyn Surroundings) {
+        around.send(to, packet::write(self.fleet, &self.follower.pull()));
+    }
+
+    pub(crate) fn pull_from(&self, id: u8, around: &mut dyn Surroundings) {
+        if let Some(peer) = self.peers.get(id) {
+            self.pull(peer.address, around);
+        }
+    }
+
+    /// It holds more than by its own steps: all of it is stored before it votes on.
+    fn caught_up(&mut self, around: &mut dyn Surroundings) {
+        self.recent.clear();
+        self.checkpoint(around);
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.slot <= self.slot()) {
+            self.attempt = None;
+        }
+    }
+
+    fn checkpoint(&self, around: &mut dyn Surroundings) {
+        let state = self.state();
+        around.store(Stored::Checkpoint {
+            records: state.records().cloned().collect(),
+            to: state.to(),
+            horizon: state.horizon(),
+            votes_from: self.votes_from,
+            vote: self.vote.clone(),
+        });
+    }
+
+    /// What was chosen for the next slot is stored, applied and told.
+    pub(crate) fn learn(&mut self, slot: u64, batch: Batch, now: Point, around: &mut dyn Surroundings) {
+        around.store(Stored::Chosen { slot, batch: batch.clone() });
+        let before = self.state().to();
+        let horizon = self.horizon;
+        let outcomes = self.follower.state_mut().apply(slot, &batch, horizon);
+        let news = self.state().newer(Scope::All, before, Version(u64::MAX), usize::MAX);
+        news.records.iter().for_each(|record| around.news(record));
+        for (id, outcome) in outcomes {
+            if let Some(from) = self.queue.chosen(id) {
+                self.tell(id, outcome, from, now, around);
+            }
+        }
+        self.recent.insert(slot, batch);
+        self.recent = self.recent.split_off(&slot.saturating_sub(RECENT));
+        if slot.is_multiple_of((horizon / 4).max(1)) {
+            self.checkpoint(around);
+        }
+        self.attempt = None;
+    }
+
+    /// To be called when [`Replica::next`] says so, or more often.
+    pub fn woke(&mut self, now: Point, around: &mut dyn Surroundings) {
+        if now >= self.pulls {
+            self.pulls = now + PULL;
+            let others: Vec<u8> = self.peers.iter().map(|(id, _)| id).filter(|id| *id != self.id).collect();
+            if !others.is_empty() {
+                let to = others[self.chance.generate_range(0..others.len())];
+                self.pull_from(to, around);
+            }
+            self.ask_parts(around);
+        }
+        self.propose(now, around);
+    }
+
+    pub fn next(&self) -> Point {
+        let attempt = self.attempt.as_ref().map_or(Point::NEVER, |attempt| attempt.until);
+        let waits = if self.queue.is_empty() { Point::NEVER } else { self.retry };
+        let own = if self.attempt.is_some() { attempt } else { waits };
+        self.pulls.min(own)
+    }
+}
--- /dev/null
+++ b/crates/cells/src/vote.rs
@@ -0,0 +1,237 @@
+//! How replicas agree on one slot after the other, and what one that lost its storage may not do.
+
+use crate::packet::{self, Ballot, Message, Paxos};
+use crate::paxos::Attempt;
+use crate::replica::{Replica, Stored, Vote};
+use crate::Surroundings;
+use nanorand::Rng;
+use shelfgrade::time::{Point, Span};
+
+/// Twice the longest way there and back; an attempt that took longer is given up.
+const ATTEMPT: Span = Span::millis(800);
+/// The most that is drawn before the next attempt, so that two proposers miss each other.
+const PAUSE_MS: u64 = 600;
+
+impl Replica {
+    pub(crate) fn heard_paxos(
+        &mut self,
+        from: u8,
+        message: Paxos,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) {
+        match message {
+            Paxos::Prepare { slot, ballot } => {
+                if self.open(from, slot, ballot, around) {
+                    if let Some(answer) = self.prepare(slot, ballot, around) {
+                        self.send(from, answer, around);
+                    }
+                }
+            }
+            Paxos::Accept { slot, ballot, batch } => {
+                if self.open(from, slot, ballot, around) {
+                    if let Some(answer) = self.accept(slot, ballot, batch, around) {
+                        self.send(from, answer, around);
+                    }
+                }
+            }
+            Paxos::Promise { slot, ballot, accepted } => {
+                self.promised(from, slot, ballot, accepted, now, around)
+            }
+            Paxos::Accepted { slot, ballot } => self.voted(from, slot, ballot, now, around),
+            Paxos::Conflict { slot, promised } => {
+                self.highest = self.highest.max(promised.round);
+                let mine =
+                    self.attempt.as_ref().is_some_and(|mine| mine.slot == slot && promised > mine.ballot);
+                if mine {
+                    self.give_up(now);
+                }
+            }
+            Paxos::Chosen { slot, batch } => {
+                if let Some(held) = self.chosen(slot) {
+                    if *held != batch {
+                        around.refused("cells log with a fork");
+                    }
+                } else if self.settled() && slot == self.slot() + 1 {
+                    self.learn(slot, batch, now, around);
+                    self.propose(now, around);
+                } else if slot > self.slot() {
+                    around.refused("cells log with a gap");
+                    self.pull_from(from, around);
+                }
+            }
+            Paxos::AskPart { number } => {
+                if self.votes() {
+                    let slot = self.slot().max(self.vote.slot);
+                    self.send(from, Paxos::TookPart { number, slot }, around);
+                }
+            }
+            Paxos::TookPart { number, slot } => {
+                if number == self.number && self.votes_from.is_none() {
+                    self.parts.insert(from, slot);
+                    self.know_from(around);
+                }
+            }
+        }
+    }
+
+    /// True where it may take part in a slot; who asks about another is told what was chosen, or asked for it.
+    fn open(&mut self, from: u8, slot: u64, ballot: Ballot, around: &mut dyn Surroundings) -> bool {
+        if ballot.by != from {
+            around.refused("cells ballots of others");
+            return false;
+        }
+        let last = self.slot();
+        if slot <= last {
+            if let Some(batch) = self.chosen(slot).cloned() {
+                self.send(from, Paxos::Chosen { slot, batch }, around);
+            }
+            return false;
+        }
+        if slot > last + 1 || !self.settled() {
+            self.pull_from(from, around);
+            return false;
+        }
+        // A vote in a later slot than this is on disk: it holds less than it did, and takes no part in what it had.
+        self.votes() && slot >= self.vote.slot
+    }
+
+    fn vote_in(&self, slot: u64) -> Vote {
+        if self.vote.slot == slot {
+            self.vote.clone()
+        } else {
+            Vote { slot, ..Vote::default() }
+        }
+    }
+
+    fn prepare(&mut self, slot: u64, ballot: Ballot, around: &mut dyn Surroundings) -> Option<Paxos> {
+        let vote = self.vote_in(slot);
+        if ballot < vote.promised {
+            return Some(Paxos::Conflict { slot, promised: vote.promised });
+        }
+        if ballot > vote.promised {
+            self.vote = Vote { promised: ballot, ..vote };
+            around.store(Stored::Vote(self.vote.clone()));
+        }
+        Some(Paxos::Promise { slot, ballot, accepted: self.vote.accepted.clone() })
+    }
+
+    fn accept(
+        &mut self,
+        slot: u64,
+        ballot: Ballot,
+        batch: Vec<crate::Change>,
+        around: &mut dyn Surroundings,
+    ) -> Option<Paxos> {
+        let vote = self.vote_in(slot);
+        if ballot < vote.promised {
+            return Some(Paxos::Conflict { slot, promised: vote.promised });
+        }
+        if vote.accepted.as_ref().is_some_and(|(held, value)| *held == ballot && *value != batch) {
+            around.refused("cells ballots with two values");
+            return None;
+        }
+        self.vote = Vote { slot, promised: ballot, accepted: Some((ballot, batch)) };
+        around.store(Stored::Vote(self.vote.clone()));
+        Some(Paxos::Accepted { slot, ballot })
+    }
+
+    /// Tries to have what waits chosen for the next slot.
+    pub(crate) fn propose(&mut self, now: Point, around: &mut dyn Surroundings) {
+        if self.attempt.as_ref().is_some_and(|attempt| now >= attempt.until) {
+            self.give_up(now);
+        }
+        let can = self.settled() && self.votes() && self.vote.slot <= self.slot() + 1;
+        if self.attempt.is_some() || self.queue.is_empty() || now < self.retry || !can {
+            if !can && self.attempt.is_none() && !self.queue.is_empty() && now >= self.retry {
+                self.retry = now + Span::millis(PAUSE_MS);
+                self.hand_on(around);
+            }
+            return;
+        }
+        let slot = self.slot() + 1;
+        let held = self.vote_in(slot).promised.round;
+        let ballot = Ballot { round: held.max(self.highest) + 1, by: self.id };
+        self.attempt = Some(Attempt::new(slot, ballot, self.queue.batch(), now + ATTEMPT));
+        // On this disk before anybody hears of it: after a restart the next ballot is a greater one.
+        let own = self.prepare(slot, ballot, around);
+        self.to_others(&Paxos::Prepare { slot, ballot }, around);
+        if let Some(Paxos::Promise { accepted, .. }) = own {
+            self.promised(self.id, slot, ballot, accepted, now, around);
+        }
+    }
+
+    /// Guards against changes that wait at one that lost its storage: another one has them chosen.
+    fn hand_on(&mut self, around: &mut dyn Surroundings) {
+        let others: Vec<_> = self.peers.iter().filter(|(id, _)| *id != self.id).collect();
+        if self.votes() || others.is_empty() {
+            return;
+        }
+        let (_, peer) = others[self.chance.generate_range(0..others.len())];
+        for change in self.queue.batch() {
+            around.send(peer.address, packet::write(self.fleet, &Message::Submit(change)));
+        }
+    }
+
+    fn give_up(&mut self, now: Point) {
+        if let Some(attempt) = self.attempt.take() {
+            self.highest = self.highest.max(attempt.ballot.round);
+        }
+        self.retry = now + Span::millis(self.chance.generate_range(10..PAUSE_MS));
+    }
+
+    fn to_others(&self, message: &Paxos, around: &mut dyn Surroundings) {
+        for (id, _) in self.peers.iter().filter(|(id, _)| *id != self.id) {
+            self.send(id, message.clone(), around);
+        }
+    }
+
+    fn promised(
+        &mut self,
+        by: u8,
+        slot: u64,
+        ballot: Ballot,
+        accepted: Option<(Ballot, Vec<crate::Change>)>,
+        now: Point,
+        around: &mut dyn Surroundings,
+    ) {
+        let majority = self.peers.majority();
+        let mine = self.attempt.as_mut().filter(|mine| mine.slot == slot && mine.ballot == ballot);
+        let Some(batch) = mine.and_then(|mine| mine.promised(by, accepted, majority)) else { return };
+        self.to_others(&Paxos::Accept { slot, ballot, batch: batch.clone() }, around);
+        if let Some(Paxos::Accepted { .. }) = self.accept(slot, ballot, batch, around) {
+            self.voted(self.id, slot, ballot, now, around);
+        }
+    }
+
+    fn voted(&mut self, by: u8, slot: u64, ballot: Ballot, now: Point, around: &mut dyn Surroundings) {
+        let majority = self.peers.majority();
+        let mine = self.attempt.as_mut().filter(|mine| mine.slot == slot && mine.ballot == ballot);
+        let Some(batch) = mine.and_then(|mine| mine.voted(by, majority)) else { return };
+        if self.settled() && slot == self.slot() + 1 {
+            self.learn(slot, batch.clone(), now, around);
+        } else {
+            self.attempt = None;
+        }
+        self.to_others(&Paxos::Chosen { slot, batch }, around);
+        self.propose(now, around);
+    }
+
+    /// Guards against a vote that was given and forgotten with the storage: see docs/cells.md, lost disk.
+    pub(crate) fn ask_parts(&mut self, around: &mut dyn Surroundings) {
+        if self.votes_from.is_none() {
+            let number = self.number;
+            self.to_others(&Paxos::AskPart { number }, around);
+        }
+    }
+
+    fn know_from(&mut self, around: &mut dyn Surroundings) {
+        if self.parts.len() < self.peers.majority() {
+            return;
+        }
+        let highest = self.parts.values().copied().max().unwrap_or_default();
+        let from = highest + 2;
+        self.votes_from = Some(from);
+        around.store(Stored::VotesFrom(from));
+    }
+}
--- /dev/null
+++ b/crates/cells/tests/log.rs
@@ -0,0 +1,397 @@
+//! The log: one value for each version, whatever the network and the disks do, and what its changes come to.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use shelfgrade_cells::{
+    write, Action, Ballot, CellId, Change, ChangeFault, Message, Paxos, Peer, Peers, RosterFault, Scope,
+    State, Stored, Version, Vote,
+};
+use shelfgrade_trials::cells::{address, OneValue, World, CALM, FLEET, ROUGH};
+
+/// The same cases every time.
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn put(id: u64, key: &str, value: u8) -> Change {
+    Change { id, action: Action::Put { key: key.to_owned(), value: vec![value] } }
+}
+
+fn add(id: u64, cell: u16, name: &str) -> Change {
+    let (cell, name, address) = (CellId(cell), name.to_owned(), address(id as usize));
+    Change { id, action: Action::Add { cell, name, address, incarnation: 1 } }
+}
+
+fn cell(id: u64, cell: u16, places: u16, quota: u32) -> Change {
+    Change { id, action: Action::AddCell { cell: CellId(cell), region: 0, places, quota } }
+}
+
+/// All that run and may vote hold the same.
+fn agree(world: &World) -> bool {
+    let mut states = (0..world.replicas).filter_map(|node| world.replica(node)).map(|replica| {
+        let state = replica.state();
+        (state.whole(), state.to(), state.digest())
+    });
+    let first = states.next();
+    states.all(|state| Some(state) == first && state.0)
+}
+
+#[test]
+fn what_one_replica_is_given_all_come_to_hold() {
+    let mut world = World::founded(&[0, 1, 2], CALM, 1);
+    for id in 1..=40 {
+        world.submit(id as usize % 3, put(id, &format!("k{id}"), 1));
+    }
+    let done = |world: &World| agree(world) && world.replica(0).is_some_and(|r| r.state().entries() == 40);
+    assert!(world.until(20_000, 50, done), "three replicas in three regions, 40 changes");
+    assert!((1..=40).all(|id| world.outcomes.get(&id) == Some(&Ok(()))), "{:?}", world.outcomes);
+    assert!(world.one_value.breaches.is_empty());
+}
+
+#[test]
+fn a_change_that_is_sent_again_counts_once() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 2);
+    world.submit(0, put(1, "k", 1));
+    world.passes(2000);
+    world.submit(1, put(2, "k", 2));
+    world.passes(2000);
+    // Its writer never heard of it, and asks another replica.
+    world.submit(2, put(1, "k", 1));
+    world.passes(2000);
+    assert_eq!(world.outcomes.get(&1), Some(&Err(ChangeFault::Again)));
+    for node in 0..3 {
+        let state = world.replica(node).expect("runs").state();
+        assert_eq!(state.entry("k"), Some(&[2][..]), "the older change undid the newer one");
+    }
+}
+
+#[test]
+fn a_majority_is_needed_and_enough() {
+    let mut world = World::founded(&[0, 0, 1, 1, 2], CALM, 3);
+    world.kill(3);
+    world.kill(4);
+    world.submit(0, put(1, "k", 1));
+    assert!(world.until(10_000, 50, |world| world.outcomes.contains_key(&1)), "three of five");
+    world.kill(2);
+    world.submit(0, put(2, "k", 2));
+    world.passes(20_000);
+    assert!(!world.outcomes.contains_key(&2), "two of five are no majority");
+    world.start(2);
+    assert!(world.until(10_000, 50, |world| world.outcomes.get(&2) == Some(&Ok(()))), "three again");
+}
+
+#[test]
+fn changes_that_cannot_be_change_nothing_and_say_why() {
+    let mut state = State::new(Scope::All);
+    let mut slot = 0;
+    let mut outcome = |change: Change| {
+        slot += 1;
+        state.apply(slot, &vec![change], 64).pop().map(|(_, outcome)| outcome).expect("one")
+    };
+    assert_eq!(outcome(cell(1, 1, 2, 600_000)), Ok(()));
+    assert_eq!(outcome(cell(2, 1, 2, 0)), Err(ChangeFault::CellTwice));
+    assert_eq!(outcome(cell(3, 2, 2, 400_001)), Err(ChangeFault::NotFree), "over the whole");
+    assert_eq!(outcome(cell(4, 2, 2, 400_000)), Ok(()));
+    assert_eq!(outcome(add(5, 1, "a")), Ok(()));
+    assert_eq!(outcome(add(6, 1, "a")), Err(ChangeFault::Twice));
+    assert_eq!(outcome(add(7, 2, "a")), Err(ChangeFault::Twice), "in another cell");
+    assert_eq!(outcome(add(8, 3, "b")), Err(ChangeFault::NoCell));
+    assert_eq!(outcome(add(9, 1, "b")), Ok(()));
+    assert_eq!(outcome(add(10, 1, "c")), Err(ChangeFault::NoPlace));
+    let own = CellId(1);
+    let of = |name: &str| (own, name.to_owned());
+    let (cell, name) = of("a");
+    assert_eq!(outcome(Change { id: 11, action: Action::Remove { cell, name } }), Ok(()));
+    assert_eq!(outcome(add(12, 1, "c")), Err(ChangeFault::NoPlace), "nobody said that it ended");
+    let (cell, name) = of("a");
+    let ended =
+        |id, incarnation| Change { id, action: Action::Ended { cell, name: name.clone(), incarnation } };
+    assert_eq!(outcome(ended(13, 2)), Err(ChangeFault::NoMember), "another incarnation");
+    assert_eq!(outcome(ended(14, 1)), Ok(()));
+    assert_eq!(outcome(add(15, 1, "c")), Ok(()));
+    let grow = |id, by| Change { id, action: Action::Grow { cell: own, by } };
+    let shrink = |id, by| Change { id, action: Action::Shrink { cell: own, by } };
+    assert_eq!(outcome(grow(16, 1)), Err(ChangeFault::NotFree));
+    assert_eq!(outcome(shrink(17, 100)), Ok(()));
+    assert_eq!(outcome(grow(18, 1)), Err(ChangeFault::NotFree), "it may be in use still");
+    assert_eq!(outcome(shrink(19, 100)), Err(ChangeFault::Pending));
+    let at = Version::at(17, 0);
+    let release = |id, at| Change { id, action: Action::Release { cell: own, at } };
+    assert_eq!(outcome(release(20, Version::at(16, 0))), Err(ChangeFault::NothingGivenUp));
+    // The number of the slot is the number of the change here.
+    assert_eq!(outcome(release(21, at)), Ok(()));
+    assert_eq!(outcome(release(22, at)), Err(ChangeFault::NothingGivenUp), "once");
+    assert_eq!(outcome(grow(23, 100)), Ok(()));
+    assert_eq!(outcome(put(24, &"k".repeat(97), 1)), Err(ChangeFault::OverBound));
+}
+
+#[test]
+fn replicas_that_are_named_twice_are_refused() {
+    let peer = |id| Peer { address: address(id), region: 0 };
+    assert_eq!(Peers::new(vec![peer(1), peer(2), peer(1)]), Err(RosterFault::Twice(address(1))));
+    assert_eq!(Peers::new(vec![]), Err(RosterFault::Empty));
+    assert_eq!(Peers::new((0..40).map(peer).collect()), Err(RosterFault::TooMany(40)));
+}
+
+#[test]
+fn a_replica_that_lost_its_disk_does_not_vote_until_it_has_caught_up() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 4);
+    for id in 1..=5 {
+        world.submit(0, put(id, "k", id as u8));
+        world.passes(500);
+    }
+    world.kill(2);
+    world.nodes[2].stored.clear();
+    world.kill(1);
+    world.start(2);
+    world.submit(0, put(6, "k", 6));
+    world.passes(20_000);
+    let lost = world.replica(2).expect("runs");
+    assert!(!lost.votes() && !world.outcomes.contains_key(&6), "it cannot know what it voted for");
+    assert_eq!(lost.state().entry("k"), Some(&[5][..]), "it learns all the same");
+    assert!(world.refused["cells storage lost, empty or with a gap"] == 1);
+    world.start(1);
+    assert!(world.until(10_000, 50, |world| world.outcomes.get(&6) == Some(&Ok(()))), "two with their disks");
+    // It votes again when the others have gone one slot on.
+    world.submit(0, put(7, "k", 7));
+    world.passes(3000);
+    assert!(world.replica(2).is_some_and(|lost| lost.votes()));
+    world.kill(1);
+    world.submit(0, put(8, "k", 8));
+    assert!(world.until(10_000, 50, |world| world.outcomes.get(&8) == Some(&Ok(()))), "it counts again");
+}
+
+#[test]
+fn a_change_given_to_a_replica_that_lost_its_disk_is_chosen_by_the_others() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 10);
+    world.submit(0, put(1, "k", 1));
+    world.passes(1000);
+    world.kill(2);
+    world.nodes[2].stored.clear();
+    world.start(2);
+    world.submit(2, put(2, "k", 2));
+    assert!(
+        world.until(5000, 50, |world| world.outcomes.get(&2) == Some(&Ok(()))),
+        "its writer waits for ever"
+    );
+}
+
+#[test]
+fn a_replica_that_restarts_while_it_recovers_goes_on_recovering() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 5);
+    world.submit(0, put(1, "k", 1));
+    world.passes(1000);
+    world.kill(2);
+    world.nodes[2].stored.clear();
+    world.kill(1);
+    for _ in 0..3 {
+        world.start(2);
+        world.passes(2000);
+        assert!(!world.replica(2).is_some_and(|lost| lost.votes()));
+        world.kill(2);
+    }
+}
+
+#[test]
+fn storage_with_a_gap_is_a_lost_disk() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 6);
+    for id in 1..=4 {
+        world.submit(0, put(id, "k", id as u8));
+        world.passes(500);
+    }
+    world.kill(0);
+    let chosen = |stored: &Stored| matches!(stored, Stored::Chosen { slot: 2, .. });
+    let at = world.nodes[0].stored.iter().position(chosen).expect("stored");
+    world.nodes[0].stored.remove(at);
+    world.start(0);
+    assert!(world.refused.contains_key("cells storage lost, empty or with a gap"));
+    assert!(!world.replica(0).is_some_and(|replica| replica.votes()));
+    assert!(world.until(5000, 50, agree), "it learns from the others");
+}
+
+#[test]
+fn a_vote_is_kept_over_a_restart() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 7);
+    let send = |world: &mut World, from: usize, to: usize, message: Paxos| {
+        let bytes = write(shelfgrade_cells::fleet(FLEET), &Message::Paxos(message));
+        world.inject(address(from), to, &bytes);
+    };
+    let late = Ballot { round: 9, by: 1 };
+    send(&mut world, 1, 0, Paxos::Prepare { slot: 1, ballot: late });
+    world.kill(0);
+    world.start(0);
+    let early = Ballot { round: 8, by: 2 };
+    send(&mut world, 2, 0, Paxos::Accept { slot: 1, ballot: early, batch: vec![put(1, "k", 1)] });
+    let held = |world: &World| {
+        world.nodes[0].stored.iter().rev().find_map(|stored| match stored {
+            Stored::Vote(vote) => Some(vote.clone()),
+            _ => None,
+        })
+    };
+    assert_eq!(
+        held(&world),
+        Some(Vote { slot: 1, promised: late, accepted: None }),
+        "it had promised a later one"
+    );
+}
+
+#[test]
+fn a_fork_a_gap_and_votes_of_nobody_change_nothing_and_are_counted() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 8);
+    world.submit(0, put(1, "k", 1));
+    world.passes(1000);
+    let fleet = shelfgrade_cells::fleet(FLEET);
+    let chosen =
+        |slot, id| write(fleet, &Message::Paxos(Paxos::Chosen { slot, batch: vec![put(id, "k", 9)] }));
+    let before = world.replica(0).expect("runs").state().digest();
+    world.inject(address(1), 0, &chosen(1, 77));
+    world.inject(address(1), 0, &chosen(9, 78));
+    world.inject(address(400), 0, &chosen(2, 79));
+    let other = Paxos::Prepare { slot: 2, ballot: Ballot { round: 1, by: 2 } };
+    world.inject(address(1), 0, &write(fleet, &Message::Paxos(other)));
+    world.inject(address(1), 0, &write(fleet ^ 1, &Message::Submit(put(5, "k", 5))));
+    let mut older = write(fleet, &Message::Submit(put(5, "k", 5)));
+    older[0] = 0;
+    world.inject(address(1), 0, &older);
+    let mut damaged = write(fleet, &Message::Submit(put(5, "k", 5)));
+    *damaged.last_mut().expect("some") ^= 1;
+    world.inject(address(1), 0, &damaged);
+    world.inject(address(1), 0, &[7; 5]);
+    world.inject(address(1), 0, &write(fleet, &Message::Submit(put(6, &"k".repeat(200), 5))));
+    assert_eq!(world.replica(0).expect("runs").state().digest(), before);
+    for why in [
+        "cells log with a fork",
+        "cells log with a gap",
+        "cells votes from no replica",
+        "cells ballots of others",
+        "cells datagrams of others",
+        "cells datagrams of another format",
+        "cells datagrams damaged",
+        "cells datagrams not to be read",
+        "cells changes over a bound",
+    ] {
+        assert_eq!(world.refused.get(why), Some(&1), "{why}: {:?}", world.refused);
+    }
+}
+
+#[test]
+fn who_comes_back_after_days_gets_a_snapshot_and_drops_what_is_not_in_it() {
+    let mut world = World::founded(&[0, 0, 0], CALM, 9).with_horizon(16);
+    world.submit(0, put(1, "gone", 1));
+    world.submit(0, put(2, "stays", 1));
+    world.passes(1000);
+    world.kill(2);
+    world.submit(0, Change { id: 3, action: Action::Delete { key: "gone".into() } });
+    for id in 10..60 {
+        world.submit(0, put(id, &format!("k{}", id % 5), id as u8));
+        world.passes(200);
+    }
+    let state = world.replica(0).expect("runs").state();
+    assert!(
+        state.horizon() > Version(0) && state.get(&shelfgrade_cells::Key::Entry("gone".into())).is_none()
+    );
+    assert!(state.len() < 40, "ids and what is gone are forgotten: {}", state.len());
+    world.start(2);
+    assert!(world.until(5000, 50, agree), "it holds what the others hold");
+    let back = world.replica(2).expect("runs").state();
+    assert!(back.entry("gone").is_none() && back.entry("stays").is_some());
+}
+
+#[test]
+fn the_check_for_one_value_catches_two() {
+    let mut one_value = OneValue::default();
+    one_value.chosen(1, &vec![put(1, "k", 1)]);
+    one_value.chosen(1, &vec![put(1, "k", 1)]);
+    assert!(one_value.breaches.is_empty());
+    one_value.chosen(1, &vec![put(1, "k", 2)]);
+    assert_eq!(one_value.breaches, [1]);
+}
+
+/// Five replicas that are killed, lose their disks one at a time, and are cut in drawn ways.
+fn never_two_values(steps: &[(u8, usize, u64)], seed: u64, forgets: bool) -> World {
+    let mut world = World::founded(&[0, 0, 1, 1, 2], ROUGH, seed).with_horizon(16);
+    let mut id = 0;
+    for (what, node, ms) in steps {
+        let node = node % 5;
+        match what % 8 {
+            0 => world.kill(node),
+            1 if !world.runs(node) => world.start(node),
+            2 => world.nodes[node].group = 1,
+            3 => world.nodes.iter_mut().for_each(|node| node.group = 0),
+            4 if forgets => {
+                // A planted breach: a disk that is lost, and nobody says so.
+                world.kill(node);
+                world.nodes[node].stored = vec![Stored::Founded];
+                world.start(node);
+            }
+            4 => {
+                // One disk at a time: with a majority of disks gone nobody knows what was chosen.
+                let voting = |node: usize| world.replica(node).is_some_and(|replica| replica.votes());
+                if (0..5).filter(|other| *other != node && voting(*other)).count() == 4 {
+                    world.kill(node);
+                    world.nodes[node].stored.clear();
+                    world.start(node);
+                }
+            }
+            _ => {
+                id += 1;
+                world.submit(node, put(id, &format!("k{}", id % 3), id as u8));
+            }
+        }
+        world.passes(*ms);
+    }
+    world
+}
+
+fn steps() -> impl Strategy<Value = Vec<(u8, usize, u64)>> {
+    prop::collection::vec((0..8u8, 0..5usize, 1..900u64), 10..60)
+}
+
+proptest! {
+    #![proptest_config(cases(256))]
+
+    #[test]
+    fn no_version_ever_has_two_values_and_all_agree_after_meeting_again(steps in steps(), seed in any::<u64>()) {
+        let mut world = never_two_values(&steps, seed, false);
+        prop_assert!(world.one_value.breaches.is_empty(), "{:?}", world.one_value.breaches);
+        for node in 0..5 {
+            world.nodes[node].group = 0;
+            if !world.runs(node) {
+                world.start(node);
+            }
+        }
+        world.net = CALM;
+        world.submit(0, put(9999, "last", 1));
+        let all = |world: &World| agree(world) && world.outcomes.contains_key(&9999);
+        let agreed = world.until(30_000, 100, all);
+        let each: Vec<_> = (0..5).filter_map(|node| world.replica(node)).map(|replica| {
+            let state = replica.state();
+            (replica.votes(), replica.slot(), state.to(), state.head(), state.digest())
+        }).collect();
+        prop_assert!(agreed, "they never agreed: {each:?}, {:?}", world.outcomes.get(&9999));
+        prop_assert!(world.one_value.breaches.is_empty(), "{:?}", world.one_value.breaches);
+    }
+}
+
+#[test]
+fn disks_that_are_lost_unsaid_are_found_by_the_same_check() {
+    let mut chance = nanorand::WyRand::new_seed(3);
+    use nanorand::Rng;
+    let breaks = (0..200u64).any(|seed| {
+        let mut step = || {
+            (
+                chance.generate_range(0..8u8),
+                chance.generate_range(0..5usize),
+                chance.generate_range(1..900u64),
+            )
+        };
+        let steps: Vec<_> = (0..60).map(|_| step()).collect();
+        !never_two_values(&steps, seed, true).one_value.breaches.is_empty()
+    });
+    assert!(breaks, "200 draws without a breach: the check sees nothing");
+}
--- /dev/null
+++ b/crates/trials/src/cells.rs
@@ -0,0 +1,315 @@
+//! A fleet in cells in virtual time: replicas and processes over a drawn network with regions and zones.
+
+use nanorand::{Rng, WyRand};
+use shelfgrade::time::{Point, Span};
+use shelfgrade_cells::{CellId, Change, ChangeFault, Key, Peer, Peers, Process, Replica, Start, Stored};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+mod parts;
+pub use parts::{address, Net, Node, OneValue, Site, CALM, ROUGH};
+use parts::{node_at, Core, Event, Out, What};
+
+pub const FLEET: &str = "drawn";
+
+pub struct World {
+    pub now: Point,
+    pub nodes: Vec<Node>,
+    pub replicas: usize,
+    pub net: Net,
+    pub horizon: u64,
+    pub one_value: OneValue,
+    pub refused: BTreeMap<&'static str, u64>,
+    pub outcomes: BTreeMap<u64, Result<(), ChangeFault>>,
+    /// The entry whose arrival is noted, and when each node had it.
+    pub watched: Option<String>,
+    pub arrivals: BTreeMap<usize, Point>,
+    peers: Peers,
+    events: BinaryHeap<Reverse<Event>>,
+    number: u64,
+    seeds: u64,
+    chance: WyRand,
+}
+
+impl World {
+    /// A fleet that was just founded, with one replica for each entry, in those regions.
+    pub fn founded(replicas: &[u8], net: Net, seed: u64) -> Self {
+        let peers = replicas.iter().enumerate();
+        let peers = peers.map(|(id, region)| Peer { address: address(id), region: *region }).collect();
+        let mut world = World {
+            now: Point::from_ms(1000.0),
+            nodes: Vec::new(),
+            replicas: replicas.len(),
+            net,
+            horizon: shelfgrade_cells::HORIZON,
+            one_value: OneValue::default(),
+            refused: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            watched: None,
+            arrivals: BTreeMap::new(),
+            peers: Peers::new(peers).expect("addresses of their own"),
+            events: BinaryHeap::new(),
+            number: 0,
+            seeds: seed,
+            chance: WyRand::new_seed(seed),
+        };
+        for (id, region) in replicas.iter().enumerate() {
+            world.place(format!("replica-{id}"), Site { region: *region, cell: None });
+            let (peers, seed) = (world.peers.clone(), world.seed());
+            let mut out = Out::default();
+            let core = Replica::found(FLEET, peers, id as u8, seed, world.now, &mut out);
+            world.nodes[id].core = Some(Core::Replica(Box::new(core)));
+            world.settle(id, out);
+        }
+        world
+    }
+
+    /// With this horizon at all replicas, those that start later too.
+    pub fn with_horizon(mut self, slots: u64) -> Self {
+        self.horizon = slots;
+        for node in &mut self.nodes[..self.replicas] {
+            if let Some(Core::Replica(core)) = node.core.take() {
+                node.core = Some(Core::Replica(Box::new(core.with_horizon(slots))));
+            }
+        }
+        self
+    }
+
+    fn seed(&mut self) -> u64 {
+        self.seeds = self.seeds.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.seeds
+    }
+
+    fn place(&mut self, name: String, site: Site) -> usize {
+        self.nodes.push(Node {
+            core: None,
+            site,
+            name,
+            incarnation: 0,
+            group: 0,
+            stored: Vec::new(),
+            kept: None,
+            armed: Point::NEVER,
+            bytes: 0,
+            datagrams: 0,
+            second: 0,
+            in_second: 0,
+            most: 0,
+            busy: Duration::ZERO,
+        });
+        self.nodes.len() - 1
+    }
+
+    /// A machine for a process, which does not run yet.
+    pub fn machine(&mut self, name: String, cell: CellId, region: u8) -> usize {
+        self.place(name, Site { region, cell: Some(cell) })
+    }
+
+    /// Starts what belongs on a machine, with what is on its disk.
+    pub fn start(&mut self, node: usize) {
+        let (seed, now, peers) = (self.seed(), self.now, self.peers.clone());
+        let mut out = Out::default();
+        let of = &mut self.nodes[node];
+        of.incarnation += 1;
+        of.armed = Point::NEVER;
+        let core = match of.site.cell {
+            None => {
+                let stored = of.stored.clone();
+                let core = Replica::restore(FLEET, peers, node as u8, seed, now, stored, &mut out);
+                Core::Replica(Box::new(core.with_horizon(self.horizon)))
+            }
+            Some(cell) => {
+                let (name, incarnation) = (of.name.clone(), of.incarnation);
+                let (fleet, kept, region) = (FLEET.to_owned(), of.kept.clone(), of.site.region);
+                let replicas = peers;
+                let start = Start { fleet, cell, region, name, incarnation, replicas, kept, seed };
+                Core::Process(Box::new(Process::new(start, now)))
+            }
+        };
+        of.core = Some(core);
+        self.settle(node, out);
+    }
+
+    /// A process keeps what it knows; a replica has on disk what it stored.
+    pub fn kill(&mut self, node: usize) {
+        if let Some(Core::Process(core)) = &self.nodes[node].core {
+            self.nodes[node].kept = Some(core.kept());
+        }
+        self.nodes[node].core = None;
+    }
+
+    pub fn runs(&self, node: usize) -> bool {
+        self.nodes[node].core.is_some()
+    }
+
+    pub fn replica(&self, node: usize) -> Option<&Replica> {
+        match &self.nodes[node].core {
+            Some(Core::Replica(core)) => Some(core),
+            _ => None,
+        }
+    }
+
+    pub fn process(&self, node: usize) -> Option<&Process> {
+        match self.nodes.get(node).map(|node| &node.core) {
+            Some(Some(Core::Process(core))) => Some(core),
+            _ => None,
+        }
+    }
+
+    pub fn processes(&self) -> impl Iterator<Item = (usize, &Process)> {
+        (self.replicas..self.nodes.len()).filter_map(|node| Some((node, self.process(node)?)))
+    }
+
+    /// What all that run may do together.
+    pub fn rights(&self) -> u64 {
+        self.processes().map(|(_, process)| u64::from(process.right())).sum()
+    }
+
+    /// Writes a change at a node, as a replica's or process's own.
+    pub fn submit(&mut self, node: usize, change: Change) {
+        let now = self.now;
+        self.call(node, |core, out| match core {
+            Core::Replica(core) => core.submit(change, now, out),
+            Core::Process(core) => core.submit(change, now, out),
+        });
+    }
+
+    /// A datagram from anywhere, as it is.
+    pub fn inject(&mut self, from: SocketAddr, to: usize, bytes: &[u8]) {
+        let now = self.now;
+        self.call(to, |core, out| match core {
+            Core::Replica(core) => core.heard(from, bytes, now, out),
+            Core::Process(core) => core.heard(from, bytes, now, out),
+        });
+    }
+
+    fn call(&mut self, node: usize, with: impl FnOnce(&mut Core, &mut Out)) {
+        let mut out = Out::default();
+        let Some(core) = &mut self.nodes[node].core else { return };
+        let began = Instant::now();
+        with(core, &mut out);
+        self.nodes[node].busy += began.elapsed();
+        self.settle(node, out);
+    }
+
+    fn settle(&mut self, node: usize, out: Out) {
+        for stored in out.stored {
+            if let Stored::Chosen { slot, batch } = &stored {
+                self.one_value.chosen(*slot, batch);
+            }
+            if matches!(stored, Stored::Checkpoint { .. }) {
+                self.nodes[node].stored.clear();
+            }
+            self.nodes[node].stored.push(stored);
+        }
+        for why in out.refused {
+            *self.refused.entry(why).or_default() += 1;
+        }
+        self.outcomes.extend(out.outcomes);
+        if let Some(watched) = &self.watched {
+            if out.news.iter().any(|key| matches!(key, Key::Entry(key) if key == watched)) {
+                self.arrivals.entry(node).or_insert(self.now);
+            }
+        }
+        for (to, bytes) in out.sends {
+            self.send(node, to, bytes);
+        }
+        let next = match &self.nodes[node].core {
+            Some(Core::Replica(core)) => core.next(),
+            Some(Core::Process(core)) => core.next(),
+            None => return,
+        };
+        // A core that is due at once is called again a moment later.
+        let next = next.max(self.now + Span::from_ms(0.1));
+        if next < self.nodes[node].armed {
+            self.nodes[node].armed = next;
+            self.push(next, node, What::Wake);
+        }
+    }
+
+    fn push(&mut self, at: Point, to: usize, what: What) {
+        self.number += 1;
+        self.events.push(Reverse(Event { at, number: self.number, to, what }));
+    }
+
+    fn one_in(&mut self, thousand: u32) -> bool {
+        thousand > 0 && self.chance.generate_range(0..1000u32) < thousand
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        assert!(bytes.len() <= shelfgrade_cells::LONGEST, "a datagram of {} bytes", bytes.len());
+        let second = self.now.count(Span::millis(1000));
+        let of = &mut self.nodes[from];
+        of.bytes += bytes.len() as u64;
+        of.datagrams += 1;
+        if of.second != second {
+            (of.second, of.in_second) = (second, 0);
+        }
+        of.in_second += bytes.len() as u64;
+        of.most = of.most.max(of.in_second);
+        let Some(to) = node_at(to).filter(|to| *to < self.nodes.len()) else { return };
+        if self.nodes[to].group != self.nodes[from].group || self.one_in(self.net.loss) {
+            return;
+        }
+        let copies = if self.one_in(self.net.twice) { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut ms =
+                self.delay(from, to) * (1.0 + f64::from(self.chance.generate_range(0..100u32)) / 500.0);
+            if self.one_in(self.net.late) {
+                ms += f64::from(self.chance.generate_range(0..3000u32));
+            }
+            let at = self.now + Span::from_ms(ms);
+            self.push(at, to, What::Datagram { from, bytes: bytes.clone() });
+        }
+    }
+
+    /// One way, in milliseconds: 1 in a zone, 2 in a region, 40 to 150 between regions.
+    fn delay(&self, from: usize, to: usize) -> f64 {
+        let (a, b) = (self.nodes[from].site, self.nodes[to].site);
+        if a.region != b.region {
+            let (low, high) = (a.region.min(b.region), a.region.max(b.region));
+            40.0 + f64::from((u32::from(low) * 7 + u32::from(high) * 13) * 37 % 111)
+        } else if a.cell.is_some() && a.cell == b.cell {
+            1.0
+        } else {
+            2.0
+        }
+    }
+
+    pub fn passes(&mut self, ms: u64) {
+        let until = self.now + Span::millis(ms);
+        while self.events.peek().is_some_and(|Reverse(event)| event.at <= until) {
+            let Some(Reverse(event)) = self.events.pop() else { break };
+            self.now = self.now.max(event.at);
+            let now = self.now;
+            match event.what {
+                What::Datagram { from, bytes } => self.inject(address(from), event.to, &bytes),
+                What::Wake if self.nodes[event.to].armed == event.at => {
+                    self.nodes[event.to].armed = Point::NEVER;
+                    self.call(event.to, |core, out| match core {
+                        Core::Replica(core) => core.woke(now, out),
+                        Core::Process(core) => core.woke(now, out),
+                    });
+                }
+                What::Wake => {}
+            }
+        }
+        self.now = until;
+    }
+
+    /// Passes until it holds, looked at so often; false where it never did.
+    pub fn until(&mut self, most_ms: u64, every_ms: u64, holds: impl Fn(&World) -> bool) -> bool {
+        let mut left = most_ms;
+        while !holds(self) {
+            if left == 0 {
+                return false;
+            }
+            let step = every_ms.min(left);
+            self.passes(step);
+            left -= step;
+        }
+        true
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`relay`] stand-ins for what is round it, [`record`] what they saw, [`checks`] what must hold of that, [`rogue`] a
 //! proxy that is wrong on purpose, and [`trial`] all of it together.
 
+pub mod cells;
 pub mod checks;
 pub mod clients;
 pub mod discovery;
