--- a/crates/cells/src/mates.rs
+++ b/crates/cells/src/mates.rs
@@ -2,7 +2,7 @@
 
 use crate::packet::Message;
 use crate::process::{Process, SPEAKERS};
-use crate::swim::{Id, Sends, Swim};
+use crate::swim::{Id, Sends, Swim, SELDOM};
 use crate::{rank, Surroundings};
 use nanorand::Rng;
 use shelfgrade::time::{Point, Span};
@@ -20,6 +20,16 @@
 }
 
 impl Process {
+    /// How many of the cell's members are not alive, as far as this process sees.
+    pub fn unmet(&self) -> usize {
+        self.mates.iter().filter(|mate| !mate.alive).count()
+    }
+
+    /// True for the replicas and the members of its cell; nobody else has it change anything.
+    pub(crate) fn knows(&self, from: SocketAddr) -> bool {
+        self.replicas.contains(&from) || self.mates.iter().any(|mate| mate.address == from)
+    }
+
     pub(crate) fn heard_swim(
         &mut self,
         from: SocketAddr,
@@ -27,6 +37,9 @@
         now: Point,
         around: &mut dyn Surroundings,
     ) {
+        if self.swim.is_none() {
+            return;
+        }
         if !self.mates.iter().any(|mate| mate.address == from) {
             return around.refused("cells membership from strangers");
         }
@@ -112,8 +125,11 @@
         if now < self.invites || self.swim.is_none() {
             return;
         }
+        let seldom = Span::millis(SELDOM.max(250 * self.mates.len() as u64));
+        // Not all of a cell that started together at the same moment.
+        let drawn = 0.5 + f64::from(self.chance.generate_range(0..1000u32)) / 1000.0;
         self.invites =
-            now + if now.since(self.began) < EARLY { Span::millis(500) } else { Span::millis(5000) };
+            now + if now.since(self.began) < EARLY { Span::millis(500) } else { seldom.times(drawn) };
         let unmet: Vec<_> = self.mates.iter().filter(|mate| !mate.alive).map(|mate| mate.place).collect();
         if unmet.is_empty() {
             return;
--- a/crates/cells/src/paxos.rs
+++ b/crates/cells/src/paxos.rs
@@ -52,10 +52,12 @@
 const MOST_WAITING: usize = 8192;
 
 impl Queue {
-    /// False where there is no room.
-    pub fn push(&mut self, change: Change, from: Option<SocketAddr>) -> bool {
+    /// False where there is no room. Who asked first is told; another replica that hands a change back isn't its writer.
+    pub fn push(&mut self, change: Change, from: Option<SocketAddr>, handed_on: bool) -> bool {
         if let Some(waits) = self.0.iter_mut().find(|(waits, _)| waits.id == change.id) {
-            waits.1 = from.or(waits.1);
+            if !handed_on {
+                waits.1 = from;
+            }
             return true;
         }
         let room = self.0.len() < MOST_WAITING;
--- a/crates/cells/src/process.rs
+++ b/crates/cells/src/process.rs
@@ -16,8 +16,8 @@
 use std::net::SocketAddr;
 
 /// What it sends in answers and pushes, in bytes a second: with the membership and the pulls it stays under 4 KB.
-const ANSWERS: f64 = 2200.0;
-const AT_ONCE: f64 = 4400.0;
+const ANSWERS: f64 = 2300.0;
+const AT_ONCE: f64 = 1400.0;
 /// To how many of the cell what is new is pushed on, once.
 const FANOUT: usize = 2;
 /// How many speak for a cell.
@@ -28,9 +28,15 @@
 /// How often one pulls that knows it lacks something.
 const BEHIND: Span = Span::millis(300);
 const START: Span = Span::millis(150);
-/// When a pull that was not answered goes to another.
+/// When a pull that was not answered goes to another; one of the cell answers at once or has sent its part.
 const SILENCE: Span = Span::millis(400);
-const SUBMIT: Span = Span::millis(1500);
+/// How long after the nearest replica was left for another it is asked again.
+const NEAREST: Span = Span::millis(10_000);
+const MATE_SILENCE: Span = Span::millis(100);
+/// One in so many pulls of those who lack something goes to a replica, which gives all: the more of a cell hold all,
+/// the more give it on.
+const TO_REPLICA: u32 = 24;
+const SUBMIT: Span = Span::millis(500);
 
 /// What a process starts with.
 pub struct Start {
@@ -71,6 +77,9 @@
     pub(crate) pulls: Point,
     pub(crate) waits: Option<(SocketAddr, Point)>,
     pub(crate) source: usize,
+    pub(crate) silences: u32,
+    /// When the nearest replica is asked again.
+    pub(crate) nearest: Point,
     pub(crate) invites: Point,
     pub(crate) began: Point,
     pub(crate) rate: Rate,
@@ -110,6 +119,8 @@
             pulls: now,
             waits: None,
             source: 0,
+            silences: 0,
+            nearest: now,
             invites: now,
             began: now,
             rate: Rate::new(ANSWERS, AT_ONCE, now),
@@ -191,7 +202,7 @@
                 if !self.state().scope().covers(scope) {
                     return around.refused("cells pulls of another cell");
                 }
-                if after > self.state().to() {
+                if after > self.state().to() && self.knows(from) {
                     self.follower.state_mut().heard_of(after);
                     if self.waits.is_none() {
                         self.pull_from(from, now, around);
@@ -200,10 +211,14 @@
                 let delta = self.state().answer(scope, after, anew);
                 self.send_within(from, &Message::Delta(delta), now, around);
             }
+            Message::Delta(_) | Message::Push(_) | Message::Ack { .. } if !self.knows(from) => {
+                around.refused("cells datagrams from strangers");
+            }
             Message::Delta(delta) => {
                 let answers = self.waits.is_some_and(|(asked, _)| asked == from);
                 if answers {
                     self.waits = None;
+                    self.silences = 0;
                 }
                 self.take(from, &delta, answers, now, around);
             }
@@ -272,7 +287,8 @@
     }
 
     fn pull_from(&mut self, to: SocketAddr, now: Point, around: &mut dyn Surroundings) {
-        self.waits = Some((to, now + SILENCE));
+        let silence = if self.replicas.contains(&to) { SILENCE } else { MATE_SILENCE };
+        self.waits = Some((to, now + silence));
         let pull = self.follower.pull();
         self.send(to, &pull, around);
     }
@@ -289,6 +305,9 @@
             return replica;
         }
         let behind = !self.state().whole();
+        if behind && self.chance.generate_range(0..TO_REPLICA) == 0 {
+            return replica;
+        }
         if behind && !self.speakers.is_empty() && self.chance.generate_range(0..4u32) == 0 {
             return Some(self.speakers[self.chance.generate_range(0..self.speakers.len())]);
         }
@@ -305,12 +324,18 @@
         if let Some((asked, until)) = self.waits {
             if now >= until {
                 self.waits = None;
-                if self.replicas.contains(&asked) || self.starts() {
-                    self.source += 1;
+                self.silences += 1;
+                // One datagram that was lost is no reason to go to another region.
+                if self.silences >= 2 && (self.replicas.contains(&asked) || self.starts()) {
+                    (self.source, self.silences) = (self.source + 1, 0);
+                    self.nearest = now + NEAREST;
                 }
                 self.pulls = now;
             }
         }
+        if self.source != 0 && now >= self.nearest {
+            self.source = 0;
+        }
         if now >= self.pulls {
             let behind = !self.state().whole();
             let pause = match (self.starts(), self.speaks, behind) {
--- a/crates/cells/src/replica.rs
+++ b/crates/cells/src/replica.rs
@@ -16,8 +16,8 @@
 use std::net::SocketAddr;
 
 /// What a replica sends in answers: a release of a zone's members, each taking all anew, is through in seconds.
-const ANSWERS: f64 = 256.0 * 1024.0;
-const PULL: Span = Span::millis(500);
+const ANSWERS: f64 = 1024.0 * 1024.0;
+const PULL: Span = Span::millis(200);
 /// Batches that are kept as they were chosen, for those just behind and to tell forks.
 const RECENT: u64 = 256;
 
@@ -63,6 +63,10 @@
     pub(crate) votes_from: Option<u64>,
     pub(crate) parts: BTreeMap<u8, u64>,
     pub(crate) number: u64,
+    /// Who else was heard proposing, and until when that counts.
+    pub(crate) busy: Option<(u8, Point)>,
+    /// What was asked about the slot after the open one, by who asked.
+    pub(crate) early: BTreeMap<u8, Paxos>,
     recent: BTreeMap<u64, Batch>,
     pub(crate) queue: Queue,
     pub(crate) attempt: Option<Attempt>,
@@ -122,6 +126,8 @@
             votes_from: None,
             parts: BTreeMap::new(),
             number: chance.generate(),
+            busy: None,
+            early: BTreeMap::new(),
             recent: BTreeMap::new(),
             queue: Queue::default(),
             attempt: None,
@@ -217,7 +223,7 @@
         } else if !change.within_bounds() {
             around.refused("cells changes over a bound");
             self.tell(change.id, Err(ChangeFault::OverBound), from, now, around);
-        } else if !self.queue.push(change, from) {
+        } else if !self.queue.push(change, from, from.is_some_and(|from| self.peers.id(from).is_some())) {
             around.refused("cells changes over the queue");
         } else {
             self.propose(now, around);
--- a/crates/cells/src/state.rs
+++ b/crates/cells/src/state.rs
@@ -242,7 +242,9 @@
             }
             last = record.version;
         }
-        if delta.head < delta.to || delta.horizon > delta.head {
+        // Who holds less than the asker has nothing to give.
+        let gives = delta.to > delta.after;
+        if (gives && delta.head < delta.to) || delta.horizon > delta.head {
             return Err(DeltaFault::Disorder);
         }
         if delta.records.iter().any(|record| self.forks(record)) || self.differs(delta) {
--- a/crates/cells/src/swim.rs
+++ b/crates/cells/src/swim.rs
@@ -53,9 +53,16 @@
     }
 }
 
+/// How often one asks another that it takes for dead, in milliseconds, where the cell is small. Guards against one that
+/// starts having to answer all of a large cell at once: those ask together four times a second.
+pub const SELDOM: u64 = 10_000;
+
 /// One probe a second and a gossip to one, whatever the cell's size; who answers nobody is suspected within a second
-/// and a half and dead three later. Dead ones are asked again every ten seconds, so that two halves find each other.
-fn config(size: usize) -> Config {
+/// and a half and dead three later. Dead ones are asked again, so that two halves find each other.
+fn config(size: usize, seed: u64) -> Config {
+    // Not all of a cell that started together at the same moment.
+    let seldom = SELDOM.max(250 * size as u64);
+    let seldom = seldom * 3 / 4 + WyRand::new_seed(seed).generate_range(0..seldom / 2);
     let periodic =
         |ms| Some(PeriodicParams { frequency: Duration::from_millis(ms), num_members: NonZeroUsize::MIN });
     // News has reached all when each has told it to so many: the library's figure.
@@ -66,10 +73,10 @@
         max_transmissions: NonZeroU8::new(transmissions).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: Duration::from_secs(3),
         remove_down_after: Some(Duration::from_secs(600)),
-        max_packet_size: NonZeroUsize::new(500).unwrap_or(NonZeroUsize::MIN),
+        max_packet_size: NonZeroUsize::new(350).unwrap_or(NonZeroUsize::MIN),
         notify_down_members: true,
         periodic_announce: periodic(20_000),
-        periodic_announce_to_down_members: periodic(10_000),
+        periodic_announce_to_down_members: periodic(seldom),
         periodic_gossip: periodic(1000),
         ..Config::simple()
     }
@@ -92,7 +99,7 @@
     pub fn new(me: Id, size: usize, seed: u64) -> Self {
         let dice = Dice(WyRand::new_seed(seed));
         Swim {
-            foca: Foca::new(me, config(size), dice, PostcardCodec),
+            foca: Foca::new(me, config(size, seed), dice, PostcardCodec),
             runtime: AccumulatingRuntime::new(),
             timers: BTreeMap::new(),
             last_timer: 0,
--- a/crates/cells/src/vote.rs
+++ b/crates/cells/src/vote.rs
@@ -11,6 +11,8 @@
 const ATTEMPT: Span = Span::millis(800);
 /// The most that is drawn before the next attempt, so that two proposers miss each other.
 const PAUSE_MS: u64 = 600;
+/// How long one leaves proposing to another that it heard at it: two attempts.
+const YIELD: Span = Span::millis(1600);
 
 impl Replica {
     pub(crate) fn heard_paxos(
@@ -21,8 +23,14 @@
         around: &mut dyn Surroundings,
     ) {
         match message {
+            Paxos::Prepare { slot, .. } | Paxos::Accept { slot, .. } if slot == self.slot() + 2 => {
+                // It has overtaken what was chosen before: taken up when that is here.
+                self.yields_to(from, now);
+                self.early.insert(from, message);
+            }
             Paxos::Prepare { slot, ballot } => {
                 if self.open(from, slot, ballot, around) {
+                    self.yields_to(from, now);
                     if let Some(answer) = self.prepare(slot, ballot, around) {
                         self.send(from, answer, around);
                     }
@@ -45,6 +53,7 @@
                     self.attempt.as_ref().is_some_and(|mine| mine.slot == slot && promised > mine.ballot);
                 if mine {
                     self.give_up(now);
+                    self.yields_to(promised.by, now);
                 }
             }
             Paxos::Chosen { slot, batch } => {
@@ -54,6 +63,9 @@
                     }
                 } else if self.settled() && slot == self.slot() + 1 {
                     self.learn(slot, batch, now, around);
+                    for (from, early) in std::mem::take(&mut self.early) {
+                        self.heard_paxos(from, early, now, around);
+                    }
                     self.propose(now, around);
                 } else if slot > self.slot() {
                     around.refused("cells log with a gap");
@@ -145,10 +157,16 @@
         if self.attempt.is_some() || self.queue.is_empty() || now < self.retry || !can {
             if !can && self.attempt.is_none() && !self.queue.is_empty() && now >= self.retry {
                 self.retry = now + Span::millis(PAUSE_MS);
-                self.hand_on(around);
+                if !self.votes() {
+                    self.hand_on(None, around);
+                }
             }
             return;
         }
+        if let Some((by, until)) = self.busy.filter(|(by, until)| *by != self.id && now < *until) {
+            self.retry = until + Span::millis(self.chance.generate_range(10..PAUSE_MS));
+            return self.hand_on(Some(by), around);
+        }
         let slot = self.slot() + 1;
         let held = self.vote_in(slot).promised.round;
         let ballot = Ballot { round: held.max(self.highest) + 1, by: self.id };
@@ -161,13 +179,20 @@
         }
     }
 
-    /// Guards against changes that wait at one that lost its storage: another one has them chosen.
-    fn hand_on(&mut self, around: &mut dyn Surroundings) {
-        let others: Vec<_> = self.peers.iter().filter(|(id, _)| *id != self.id).collect();
-        if self.votes() || others.is_empty() {
+    /// Guards against proposers that undo each other's ballots for ever: where another one is at work, it is given the
+    /// changes that wait here. Nobody depends on it: after a while each proposes again.
+    fn yields_to(&mut self, by: u8, now: Point) {
+        self.busy = Some((by, now + YIELD));
+    }
+
+    /// Has the changes that wait here chosen by another: one that is at work, or any where this one may not vote.
+    fn hand_on(&mut self, to: Option<u8>, around: &mut dyn Surroundings) {
+        let others: Vec<u8> = self.peers.iter().map(|(id, _)| id).filter(|id| *id != self.id).collect();
+        if others.is_empty() {
             return;
         }
-        let (_, peer) = others[self.chance.generate_range(0..others.len())];
+        let to = to.unwrap_or_else(|| others[self.chance.generate_range(0..others.len())]);
+        let Some(peer) = self.peers.get(to) else { return };
         for change in self.queue.batch() {
             around.send(peer.address, packet::write(self.fleet, &Message::Submit(change)));
         }
--- a/crates/trials/src/cells.rs
+++ b/crates/trials/src/cells.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+pub mod fleet;
 mod parts;
 pub use parts::{address, Net, Node, OneValue, Site, CALM, ROUGH};
 use parts::{node_at, Core, Event, Out, What};
@@ -122,7 +123,7 @@
             }
             Some(cell) => {
                 let (name, incarnation) = (of.name.clone(), of.incarnation);
-                let (fleet, kept, region) = (FLEET.to_owned(), of.kept.clone(), of.site.region);
+                let (fleet, kept, region) = (FLEET.to_owned(), of.kept.take(), of.site.region);
                 let replicas = peers;
                 let start = Start { fleet, cell, region, name, incarnation, replicas, kept, seed };
                 Core::Process(Box::new(Process::new(start, now)))
