--- a/crates/cells/tests/rights.rs
+++ b/crates/cells/tests/rights.rs
@@ -2,9 +2,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use shelfgrade_cells::{Action, CellId, Change, Key, Scope, State, Version, WHOLE};
+use shelfgrade_cells::{
+    fleet, write, Action, CellId, Change, Delta, Key, Member, Message, Record, Scope, State, Value, Version,
+    WHOLE,
+};
 use shelfgrade_trials::cells::fleet::put;
-use shelfgrade_trials::cells::{World, CALM, ROUGH};
+use shelfgrade_trials::cells::{address, World, CALM, FLEET, ROUGH};
 
 /// The same cases every time.
 fn cases(cases: u32) -> ProptestConfig {
@@ -129,6 +132,36 @@
     assert_eq!(process.right(), 0, "its cell may have given up what it had, and its place another owner");
 }
 
+#[test]
+fn who_has_its_own_record_but_not_all_before_it_has_no_right_yet() {
+    let mut world = full(7);
+    let node = world.nodes.len() - 1;
+    (0..3).for_each(|replica| world.kill(replica));
+    world.kill(node);
+    world.nodes.iter_mut().enumerate().filter(|(at, _)| *at != node).for_each(|(_, node)| node.group = 1);
+    world.start(node);
+    let (to, held) = {
+        let state = world.process(node).expect("runs").state();
+        let key = Key::Member(CellId(1), world.nodes[node].name.clone());
+        (state.to(), state.get(&key).expect("kept").clone())
+    };
+    let slot = to.slot();
+    let Some(Value::Member(member)) = held.value else { panic!("a member") };
+    let (version, value) =
+        (Version::at(slot + 1, 0), Some(Value::Member(Member { incarnation: 2, ..member })));
+    let own = Record { key: held.key, version, value };
+    let give = |world: &mut World, after, upto, head, records: Vec<Record>| {
+        let (to, head) = (Version::end_of(upto), Version::end_of(head));
+        let delta = Delta { after, to, head, horizon: Version(0), digest: 0, records };
+        world.inject(address(0), node, &write(fleet(FLEET), &Message::Delta(delta)));
+    };
+    give(&mut world, to, slot + 1, slot + 9, vec![own]);
+    let right = |world: &World| world.process(node).map(|process| process.right());
+    assert_eq!(right(&world), Some(0), "its cell may have given up something in what is still to come");
+    give(&mut world, Version::end_of(slot + 1), slot + 9, slot + 9, vec![]);
+    assert_eq!(right(&world), Some(WHOLE / 10));
+}
+
 /// Two processes of one machine's name, the older one still there, cut off: told to the log as one that ended.
 #[test]
 fn the_sum_catches_an_end_that_was_none() {
--- a/crates/cells/tests/spread.rs
+++ b/crates/cells/tests/spread.rs
@@ -207,6 +207,30 @@
     assert!(held.state().whole());
 }
 
+#[test]
+fn who_is_given_less_than_there_is_knows_so() {
+    let mut gives = held();
+    // It holds a later record of k1, and so doesn't give the one that it had.
+    assert!(gives.take(&delta(5, 6, vec![record("k1", 6, "ahead")])).is_ok());
+    let answer = gives.state().answer(Scope::All, Version(0), true);
+    assert!(answer.records.iter().all(|record| record.key != Key::Entry("k1".into())));
+    let mut takes = Follower::new(State::new(Scope::All));
+    takes.take(&answer).expect("in order");
+    assert!(!takes.state().whole() || takes.renews(), "k1 is still to come");
+}
+
+#[test]
+fn what_a_process_holds_grows_with_its_cell_and_not_with_the_fleet() {
+    let records = |processes, cells| {
+        let mut world = World::whole_fleet(processes, cells, 50, CALM, 12);
+        assert!(world.until(60_000, 50, World::agrees));
+        world.processes().map(|(_, process)| process.state().len()).max().unwrap_or(0)
+    };
+    let (small, large, wide) = (records(40, 4), records(160, 16), records(160, 4));
+    assert_eq!(large, small + 12, "four times the fleet: one record more for each cell more");
+    assert_eq!(wide, small + 30, "four times the cell: one more for each member of it");
+}
+
 #[test]
 fn what_is_out_of_order_or_forked_changes_nothing() {
     let mut held = held();
