--- a/crates/cells/src/follow.rs
+++ b/crates/cells/src/follow.rs
@@ -48,14 +48,20 @@
             return self.state.merge(delta);
         }
         let scope = self.state.scope();
-        let start = || Anew { state: State::new(scope), horizon: delta.horizon };
+        let head = self.state.head();
+        let start = || {
+            let mut state = State::new(scope);
+            // Nothing goes back: what came ahead may have been told to others already.
+            state.heard_of(head);
+            Anew { state, horizon: delta.horizon }
+        };
         let anew = self.anew.get_or_insert_with(start);
         if delta.horizon > anew.horizon.max(anew.state.to()) {
             // What went in between may have been forgotten by now: from the start.
             *anew = start();
         }
         let merged = anew.state.merge(delta)?;
-        if anew.state.whole() && anew.state.to() >= self.state.to() {
+        if anew.state.whole() {
             if let Some(anew) = self.anew.take() {
                 self.state = anew.state;
             }
--- a/crates/cells/tests/spread.rs
+++ b/crates/cells/tests/spread.rs
@@ -219,6 +219,21 @@
     assert!(!takes.state().whole() || takes.renews(), "k1 is still to come");
 }
 
+#[test]
+fn a_snapshot_never_takes_back_what_came_ahead_of_it() {
+    let mut held = held();
+    let ahead = record("k1", 9, "ahead");
+    assert!(held.take(&delta(8, 9, vec![ahead.clone()])).is_ok());
+    // Its sender has forgotten what went since slot 3, and holds less than was heard of.
+    let older = delta(0, 5, vec![record("k1", 5, "older")]);
+    let older = Delta { after: Version(0), horizon: Version::end_of(4), ..older };
+    assert!(held.take(&older).is_ok());
+    assert_eq!(held.state().get(&ahead.key), Some(&ahead), "a cell's record that was acknowledged went back");
+    assert!(held.take(&delta(5, 9, vec![ahead.clone()])).is_ok());
+    assert!(!held.renews() && held.state().to() == Version::end_of(9));
+    assert_eq!(held.state().get(&ahead.key), Some(&ahead));
+}
+
 #[test]
 fn what_a_process_holds_grows_with_its_cell_and_not_with_the_fleet() {
     let records = |processes, cells| {
