--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,7 +1,7 @@
 //! What the fleet is tried with. Nothing here is part of the program.
 //!
-//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed. The rest
-//! starts real processes on loopback: [`process`] the program itself, [`server`], [`discovery`], [`clients`] and
+//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed, [`cells`]
+//! a fleet in cells with the replicas of its log. The rest starts real processes on loopback: [`process`] the program itself, [`server`], [`discovery`], [`clients`] and
 //! [`relay`] stand-ins for what is round it, [`record`] what they saw, [`checks`] what must hold of that, [`rogue`] a
 //! proxy that is wrong on purpose, and [`trial`] all of it together.
 
