--- a/crates/cells/tests/log.rs
+++ b/crates/cells/tests/log.rs
@@ -6,6 +6,7 @@
     write, Action, Ballot, CellId, Change, ChangeFault, Message, Paxos, Peer, Peers, RosterFault, Scope,
     State, Stored, Version, Vote,
 };
+use shelfgrade_trials::cells::fleet::{percentile, TEN};
 use shelfgrade_trials::cells::{address, OneValue, World, CALM, FLEET, ROUGH};
 
 /// The same cases every time.
@@ -53,6 +54,30 @@
     assert!(world.one_value.breaches.is_empty());
 }
 
+#[test]
+fn replicas_that_all_propose_do_not_undo_each_other() {
+    let mut world = World::founded(&TEN, CALM, 11);
+    let mut took = Vec::new();
+    let mut waits: Vec<(u64, u64)> = Vec::new();
+    for step in 0..1000u64 {
+        if step % 10 == 0 && step < 900 {
+            let id = 1 + step / 10;
+            world.submit((id * 7 % 10) as usize, put(id, &format!("k{id}"), 1));
+            waits.push((id, step));
+        }
+        world.passes(40);
+        let done = |(id, _): &(u64, u64)| world.outcomes.contains_key(id);
+        took.extend(waits.iter().filter(|waits| done(waits)).map(|(_, since)| (40 * (step - since)) as f64));
+        waits.retain(|waits| !done(waits));
+    }
+    assert!(waits.is_empty(), "never: {waits:?}");
+    let (half, most) = (percentile(&mut took, 50.0), percentile(&mut took, 100.0));
+    assert!(
+        half <= 1500.0 && most <= 5000.0,
+        "two and a half changes a second, each at another: {half} {most}"
+    );
+}
+
 #[test]
 fn a_change_that_is_sent_again_counts_once() {
     let mut world = World::founded(&[0, 0, 0], CALM, 2);
