--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,12 +1,14 @@
 //! What the fleet is tried with. Nothing here is part of the program.
 //!
-//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed, and
-//! [`simulation`] thousands of them over regions and zones ([`topology`]), on some threads. The rest
+//! [`drawn`] has many cores in virtual time over a drawn network, in one thread and the same for the same seed,
+//! [`simulation`] thousands of them over regions and zones ([`topology`]), on some threads, and [`cells`] a fleet in
+//! cells with the replicas of its log. The rest
 //! starts real processes on loopback: [`process`] the program itself, [`server`], [`discovery`], [`clients`] and
 //! [`relay`] stand-ins for what is round it, [`record`] what they saw, [`checks`] what must hold of that, [`rogue`] a
 //! proxy that is wrong on purpose, and [`trial`] all of it together. What a size costs is measured by [`standing`], one
 //! real process with many circuits, and [`decisions`], the decisions alone.
 
+pub mod cells;
 pub mod checks;
 pub mod clients;
 pub mod decisions;
