Tests: an address that refuses stays its own, and a freed descriptor is waited for in the same time

A place that refuses gave its port back, so that another test's could be bound there; each_fault_of_a_call_... failed three times so, by reading. It keeps the port now, bound and not listened on.

--- a/crates/proxy/tests/sockets/peers.rs
+++ b/crates/proxy/tests/sockets/peers.rs
@@ -83,8 +83,10 @@
     let _sides = program.settles(&server);
     assert!(program.descriptors() <= before + 96 / 4 + 2, "a quarter at most, and the two sides");
     assert_eq!(silent.last_mut().map(Wire::line).as_deref(), Some("ERR"));
-    assert!(began.elapsed() < Duration::from_secs(3));
-    assert!(program.descriptors() <= before + 3, "discovery, and the two sides");
+    // It is told before its descriptor is free, so this is waited for, within the same three seconds.
+    let left = Duration::from_secs(3).saturating_sub(began.elapsed());
+    // Discovery, and the two sides.
+    within(left, || (program.descriptors() <= before + 3).then_some(()));
 }
 
 #[test]
--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -95,7 +95,7 @@
 /// A server, or discovery: takes connections when the story says so.
 pub struct Place {
     pub name: String,
-    listener: Option<TcpListener>,
+    listener: TcpListener,
     pub address: SocketAddr,
 }
 
@@ -104,33 +104,35 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         listener.set_nonblocking(true).unwrap();
-        Place { name: name.to_owned(), listener: Some(listener), address }
+        Place { name: name.to_owned(), listener, address }
     }
 
-    /// One whose address refuses connections.
+    /// One whose address refuses connections, and is nobody else's meanwhile.
     pub fn closed(name: &str) -> Self {
-        let mut place = Self::new(name);
-        place.listener = None;
-        place
+        let kind = socket2::Type::STREAM.cloexec();
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, kind, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let listener = TcpListener::from(socket);
+        Place { name: name.to_owned(), address: listener.local_addr().unwrap(), listener }
     }
 
     /// One that refused so far, at the same address.
     pub fn opens_again(self) -> Self {
-        let listener = TcpListener::bind(self.address).unwrap();
-        listener.set_nonblocking(true).unwrap();
-        Place { listener: Some(listener), ..self }
+        socket2::SockRef::from(&self.listener).listen(128).unwrap();
+        self.listener.set_nonblocking(true).unwrap();
+        self
     }
 
     /// One whose queue is full, so that a connect does not come up until something is accepted.
     pub fn clogged(name: &str) -> (Self, TcpStream) {
         let place = Self::new(name);
-        socket2::SockRef::from(place.listener.as_ref().unwrap()).listen(0).unwrap();
+        socket2::SockRef::from(&place.listener).listen(0).unwrap();
         let first = TcpStream::connect(place.address).unwrap();
         (place, first)
     }
 
     pub fn try_accept(&self) -> Option<Wire> {
-        self.listener.as_ref().unwrap().accept().ok().map(|(stream, _)| Wire::new(stream))
+        self.listener.accept().ok().map(|(stream, _)| Wire::new(stream))
     }
 
     pub fn accept(&self) -> Wire {
