--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -283,7 +283,7 @@
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("shelfgrade-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config).unwrap();
-        command.env("RELAY_CONFIG", &path).env("RUST_LOG", "info").stderr(Stdio::piped());
+        command.env("RELAY_CONFIG", &path).env("RUST_LOG", "info,calloop=error").stderr(Stdio::piped());
         (command.spawn().unwrap(), path)
     }
 
