--- /dev/null
+++ b/crates/proxy/tests/sockets/calls.rs
@@ -0,0 +1,83 @@
+//! Stories of system calls that fail for a moment, or do part of what was asked for, as Linux documents.
+
+use crate::plan::{Call, Failure, Plan};
+use crate::stand::{Place, Terms, Wire, USUAL};
+use std::time::{Duration, Instant};
+
+/// Has a server answer each connection's first line with this, and end it, until the test is over.
+fn answers_all(server: Place, answer: &'static str) {
+    std::thread::spawn(move || loop {
+        match server.try_accept() {
+            Some(mut wire) => {
+                if !wire.line().is_empty() {
+                    let _ = std::io::Write::write_all(&mut wire.stream, answer.as_bytes());
+                }
+            }
+            None => std::thread::sleep(Duration::from_millis(1)),
+        }
+    });
+}
+
+/// Whether this is a final answer, whole, with a proper end behind it.
+#[track_caller]
+fn is_refused_whole(client: &mut Wire) {
+    let answer = client.line();
+    let whole = answer == "ERR" || answer == "BUSY" || answer.starts_with("BUSY ");
+    assert!(whole, "no final answer: {answer:?}");
+    assert_eq!(client.line(), "", "after {answer}");
+}
+
+/// `B`, `BU` and `BUS` came in place of a final answer, and then the end.
+#[test]
+fn a_short_write_leaves_no_part_of_an_answer() {
+    let plan = Plan::new();
+    let server = Place::new("s1");
+    let entry = [server.entry("in_service")];
+    let program = plan.start(Terms { effect: "once", ..USUAL }, &[&server]);
+    plan.fail(Call::Send, 600, Failure::Short);
+    answers_all(server, "ERR\r\n");
+    let _watch = program.hears(&entry);
+    for i in 0..40 {
+        is_refused_whole(&mut program.opens(&format!("lift-{i}"), ",d=3000"));
+        is_refused_whole(program.client().say("OPEN what\r\n"));
+        let mut front = program.client();
+        assert_eq!(front.say("PING\r\n").line(), "PONG");
+        assert_eq!(front.say("PING\r\n").line(), "PONG");
+    }
+    assert!(plan.failed(Call::Send) > 100, "writes were short");
+    program.ends();
+}
+
+/// One failure put all accepting off for a tenth of a second.
+#[test]
+fn accepting_that_fails_for_a_moment_keeps_nobody_waiting() {
+    for error in [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EPROTO, libc::ENETDOWN] {
+        let plan = Plan::new();
+        let server = Place::new("s1");
+        let program = plan.start(USUAL, &[&server]);
+        answers_all(server, "BUSY\r\n");
+        plan.fail(Call::Accept, 300, Failure::Error(error));
+        let began = Instant::now();
+        let mut clients: Vec<_> = (0..60).map(|i| program.opens(&format!("lift-{i}"), ",d=1800")).collect();
+        clients.iter_mut().for_each(is_refused_whole);
+        assert!(began.elapsed() < Duration::from_millis(1500), "error {error}: {:?}", began.elapsed());
+        assert!(plan.failed(Call::Accept) > 10);
+    }
+}
+
+/// The process took its queue for empty, ended, and reset who lay in it.
+#[test]
+fn accepting_that_fails_at_the_end_leaves_nobody_in_the_queue() {
+    for error in [libc::ENFILE, libc::ECONNABORTED] {
+        let plan = Plan::new();
+        let server = Place::new("s1");
+        // Killing comes 1.9 s after the signal.
+        let program = plan.start(Terms { patience_ms: 1200, sockets: 1024, ..USUAL }, &[&server]);
+        answers_all(server, "BUSY\r\n");
+        plan.fail(Call::Accept, 500, Failure::Error(error));
+        program.terminate();
+        let mut clients: Vec<_> = (0..240).map(|i| program.opens(&format!("lift-{i}"), ",d=1200")).collect();
+        clients.iter_mut().for_each(is_refused_whole);
+        assert_eq!(program.exit().0, Some(0));
+    }
+}
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! Stories of the program on sockets, one for each thing that could go wrong there.
 
+mod calls;
 mod crossing;
 mod ending;
 mod faults;
@@ -11,6 +12,7 @@
 mod moving;
 mod passing;
 mod peers;
+mod plan;
 mod ready;
 mod rest;
 mod room;
