Own lines are written whole, accepting goes on after failures, last answers linger

Cause: Socket::tell wrote once whatever the system took; accept_later put all accepting off for 100 ms after any one failure; last_answers took the first failure for an empty queue, and the process ended with clients in it. Change: a socket keeps the rest of its own lines and writes them before all else; accepting goes on past failures, and pauses for 10 ms after sixteen in a row; the end waits until the queue was found empty.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -3,7 +3,7 @@
 
 use crate::line::{whole, Open, LONGEST};
 use crate::proxy::Proxy;
-use crate::socket::{End, Socket};
+use crate::socket::Socket;
 use shelfgrade::time::Point;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -39,6 +39,7 @@
             return;
         }
         let mut begun = self.begun.borrow_mut();
+        self.socket.write_own();
         while self.socket.take(&mut begun, LONGEST + 3) > 0 {}
         let gone = self.socket.ended.get().is_some();
         match begun.iter().position(|b| *b == b'\n') {
@@ -98,12 +99,11 @@
         }
     }
 
-    /// Answers and closes at once. Guards against reading what else it sends, which may be without end.
+    /// Answers at once, and ends the connection behind that.
     pub fn refuse(&self, answer: &str, why: &'static str, proxy: &mut Proxy) {
         proxy.hands.tally.complain(why);
         self.socket.tell(answer);
-        self.socket.end(End::Fin);
-        self.socket.discard();
         proxy.door.forget(self);
+        proxy.hands.close_after_last_line(self.socket.clone());
     }
 }
--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -114,6 +114,7 @@
         let connect = self.connect.borrow().clone();
         let (mut up, mut down) = (self.up.borrow_mut(), self.down.borrow_mut());
         let mut written = 0;
+        self.client.write_own();
         if let Some(connect) = connect.as_ref().filter(|c| c.is_up()) {
             written += connect.socket.write(&mut up);
             if let (Some(end), true) = (self.up_end.get(), up.is_empty()) {
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -72,13 +72,11 @@
         }
     }
 
-    /// The final answer, when the client gets no server: told and closed at once. Guards against holding
-    /// descriptors for whoever goes on sending.
+    /// The final answer, when the client gets no server: told at once, and the connection ended behind it.
     pub fn answer(&self, line: &str, hands: &mut Hands) {
         self.client.tell(line);
-        self.client.end(End::Fin);
-        self.client.discard();
         self.close(hands);
+        hands.close_after_last_line(self.client.clone());
     }
 }
 
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -1,8 +1,8 @@
 //! The door: accepts connections, and keeps those that have yet to send their first line.
 
 use crate::caller::Caller;
+use crate::proxy::Proxy;
 use crate::proxy::ServeFault;
-use crate::proxy::{Proxy, BEAT};
 use crate::socket::Socket;
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
@@ -12,10 +12,15 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::Duration;
 
 pub struct Door {
     listener: TcpListener,
     listening: RegistrationToken,
+    /// Accepting waits for a moment after failures in a row.
+    paused: bool,
+    /// The last call found nobody in the system's queue.
+    queue_is_empty: bool,
     /// The one not heard of for longest comes first.
     callers: BTreeMap<u64, Rc<Caller>>,
     last_number: u64,
@@ -33,13 +38,26 @@
             Ok(PostAction::Continue)
         });
         let listening = listening.map_err(|fault| cannot(std::io::Error::other(fault.error)))?;
-        Ok(Door { listener, listening, callers: BTreeMap::new(), last_number: 0, ids: Default::default() })
+        Ok(Door {
+            listener,
+            listening,
+            paused: false,
+            queue_is_empty: true,
+            callers: BTreeMap::new(),
+            last_number: 0,
+            ids: Default::default(),
+        })
     }
 
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
     }
 
+    /// Whether nobody was left in the system's queue when it was last looked into.
+    pub fn queue_is_empty(&self) -> bool {
+        self.queue_is_empty
+    }
+
     pub fn holds(&self, caller: &Caller) -> bool {
         self.callers.contains_key(&caller.number.get())
     }
@@ -94,29 +112,54 @@
     pub fn accept(&mut self) {
         // Guards against a storm of clients starving those that are there.
         const AT_ONCE: usize = 32;
+        // A failure may be that of one connection, or be over with the next call; one run in 65,000 is as long where
+        // half of the calls fail.
+        const FAILURES_IN_A_ROW: usize = 16;
+        self.door.queue_is_empty = false;
+        let mut failures = 0;
         for _ in 0..AT_ONCE {
             match self.door.listener.accept() {
-                Ok((stream, _)) => match Socket::new(stream) {
-                    Ok(socket) => self.take_in(socket),
-                    Err(fault) => log::warn!("a client's socket: {fault}"),
-                },
-                Err(fault) if fault.kind() == ErrorKind::WouldBlock => return,
-                Err(fault)
-                    if matches!(fault.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(fault) => return self.accept_later(&fault),
+                Ok((stream, _)) => {
+                    failures = 0;
+                    match Socket::new(stream) {
+                        Ok(socket) => self.take_in(socket),
+                        Err(fault) => log::warn!("a client's socket: {fault}"),
+                    }
+                }
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
+                    self.door.queue_is_empty = true;
+                    return;
+                }
+                Err(fault) => {
+                    failures += 1;
+                    if failures == FAILURES_IN_A_ROW {
+                        return self.accept_later(&fault);
+                    }
+                }
             }
         }
     }
 
     /// Guards against spinning where descriptors have run out all the same.
     fn accept_later(&mut self, fault: &std::io::Error) {
+        // Short against any patience, long against the calls before it.
+        const PAUSE: Duration = Duration::from_millis(10);
+        if std::mem::replace(&mut self.door.paused, true) {
+            return;
+        }
         self.hands.tally.complain("accepting put off");
         log::debug!("accept: {fault}");
         let _ = self.hands.handle.disable(&self.door.listening);
-        let again = self.hands.handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
-            let _ = proxy.hands.handle.enable(&proxy.door.listening);
+        let again = self.hands.handle.insert_source(Timer::from_duration(PAUSE), |_, _, proxy| {
+            // Guards against a listener that is never watched again: it is asked by hand until it can be.
+            let watched = proxy.hands.handle.enable(&proxy.door.listening).is_ok();
+            proxy.door.paused = !watched;
             proxy.accept();
-            TimeoutAction::Drop
+            if watched {
+                TimeoutAction::Drop
+            } else {
+                TimeoutAction::ToDuration(PAUSE)
+            }
         });
         self.hands.tally.must(again.is_ok(), "a timer can be set");
     }
@@ -140,7 +183,10 @@
     /// Guards against connections that say nothing taking the descriptors of those that do: past what is left
     /// for them, the one not heard of for longest goes.
     pub fn make_room(&mut self) {
-        while self.door.callers.len() > self.hands.room_for_callers() {
+        while self.door.callers.len() + self.hands.lingering.count() > self.hands.room_for_callers() {
+            if self.hands.lingering.close_oldest() {
+                continue;
+            }
             let Some(oldest) = self.door.oldest() else { return };
             oldest.ready(self);
             if self.door.holds(&oldest) {
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -20,6 +20,8 @@
     stay_for: Span,
     /// Nobody is taken from here on, and who still waits is answered.
     open_for: Span,
+    /// Who still has sent no line, or comes only now, is told to come again from here on.
+    last_call: Span,
     gone_within: Span,
 }
 
@@ -28,12 +30,15 @@
         // Enough for last lines to be read and for one more look, beats being a tenth of a second apart.
         const LAST_WORDS: Span = Span::millis(500);
         const SPARE: Span = Span::millis(200);
+        // Another look comes before the end, for answers that are still being written.
+        const LAST_CALL: Span = Span::millis(350);
         let killed = longest_patience.unwrap_or(MOST_PATIENCE).min(MOST_PATIENCE) + KILLED_AFTER;
         let before = |span: Span| (Point::default() + killed - span).since(Point::default());
         Course {
             // What is left then is enough to go one after the other.
             stay_for: before(LAST_WORDS).times(0.6),
             open_for: before(LAST_WORDS),
+            last_call: before(LAST_CALL),
             gone_within: before(SPARE),
         }
     }
@@ -50,7 +55,7 @@
     pub fn end_when_done(&mut self) {
         // Clients go on coming for a little while after the signal.
         const QUIET_FOR: Span = Span::millis(500);
-        let Course { stay_for, open_for, gone_within } = self.course;
+        let Course { stay_for, open_for, last_call, gone_within } = self.course;
         let now = self.now();
         let Some(past) = self.told_to_end.map(|told| now.since(told)) else { return };
         if past >= stay_for {
@@ -71,8 +76,13 @@
         let quiet = past >= QUIET_FOR && now.since(self.last_arrival) >= QUIET_FOR;
         // Guards against leaving who has connected, and has sent nothing yet or half of its line.
         let owed = self.door.callers().any(|caller| caller.is_owed());
-        if past >= gone_within || quiet && !open && !leaving && !owed {
+        let settled = quiet && !open && !leaving && !owed && self.door.queue_is_empty();
+        if settled || past >= last_call {
             self.last_answers();
+            // Guards against a process that ends while last lines are being written, or are on their way.
+            if past < gone_within && (leaving || self.hands.lingering.count() > 0) {
+                return;
+            }
             let fellows = self.fellows.take();
             fellows.inspect(|fellows| fellows.leave(self));
             self.stop.stop();
@@ -82,10 +92,15 @@
     /// Who is at the door, or still in its queue, is told to come again: a connection closed without a word is a client
     /// lost. A circuit that comes that late is answered too.
     fn last_answers(&mut self) {
-        // More than come in the time that all this takes.
-        const AT_MOST: usize = 64;
+        // More turns than come in the time that all this takes.
+        const TURNS: usize = 64;
         self.course.open_for = Span::default();
-        (0..AT_MOST).for_each(|_| self.accept());
+        for _ in 0..TURNS {
+            self.accept();
+            if self.door.queue_is_empty() {
+                break;
+            }
+        }
         for caller in self.door.callers().cloned().collect::<Vec<_>>() {
             caller.ready(self);
             if self.door.holds(&caller) {
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -4,8 +4,10 @@
 use crate::client::busy;
 use crate::clock::{duration, Clock};
 use crate::due::Due;
+use crate::lingering::LingeringCloses;
 use crate::proxy::Proxy;
 use crate::server::{Connect, Server};
+use crate::socket::Socket;
 use crate::start::Limits;
 use crate::tally::Tally;
 use calloop::timer::{TimeoutAction, Timer};
@@ -34,6 +36,8 @@
     /// Those that are looked after with each beat, and those whose client waits for something to come back.
     pub due: Due,
     pub unanswered: Due,
+    /// Clients that have had their last line.
+    pub lingering: LingeringCloses,
     pub last_id: u64,
     /// What waits for the list to name the server that held it before the start.
     pub unplaced: Vec<Weak<Circuit>>,
@@ -67,6 +71,7 @@
             open_ids: BTreeSet::new(),
             due: Due::default(),
             unanswered: Due::default(),
+            lingering: LingeringCloses::default(),
             last_id: 0,
             unplaced: Vec::new(),
             list_heard: Cell::new(false),
@@ -139,6 +144,12 @@
         held.iter().take(over).for_each(|(_, server)| drop(server.probe.take()));
     }
 
+    /// Ends a client's connection after the last line that it was told.
+    pub fn close_after_last_line(&mut self, client: Rc<Socket<Proxy>>) {
+        let now = self.clock.now();
+        self.lingering.close(client, now);
+    }
+
     pub fn forget(&mut self, circuit: &Circuit) {
         self.circuits.remove(&circuit.id);
         self.open_ids.remove(&circuit.opening.id);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod hands;
 mod http;
 mod line;
+mod lingering;
 mod listing;
 mod notes;
 mod probe;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -269,6 +269,7 @@
             circuit.beat(self);
         }
         self.sweep_callers();
+        self.hands.lingering.sweep(self.now());
         self.end_of_waiting();
         self.tell_pulses();
         self.end_when_done();
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -24,12 +24,16 @@
     watch: Cell<Option<(LoopHandle<'static, T>, RegistrationToken)>>,
     /// What is called when it may have become readable or writable.
     ready: Rc<RefCell<Callback<T>>>,
+    /// Lines of our own that the system has yet to take.
+    own: RefCell<Vec<u8>>,
     /// How a connect failed.
     refused: Cell<Option<ErrorKind>>,
     /// Set once the peer has ended, however that was noticed.
     pub ended: Cell<Option<End>>,
     /// Set once our side has ended.
     pub closed: Cell<Option<End>>,
+    /// The end of our sending has been handed to the system.
+    shut_down: Cell<bool>,
 }
 
 impl<T> Socket<T> {
@@ -40,9 +44,11 @@
             stream: Rc::new(stream),
             watch: Cell::default(),
             ready: Rc::new(RefCell::new(Rc::new(|_| {}))),
+            own: RefCell::default(),
             refused: Cell::default(),
             ended: Cell::default(),
             closed: Cell::default(),
+            shut_down: Cell::default(),
         })
     }
 
@@ -142,29 +148,49 @@
         read.unwrap_or(0)
     }
 
-    /// Reads what lies there, and drops it. Guards against a close over unread bytes, which resets the connection and
-    /// may take the last answer with it.
-    pub fn discard(&self) {
-        // More than a client sends that means no harm; whoever sends on is not read without end.
-        const READS: usize = 64;
+    /// Reads what lies there, so many bytes at most, and drops it; how many there were.
+    pub fn discard(&self, most: usize) -> usize {
         let mut scratch = [0; 4096];
-        for _ in 0..READS {
-            if self.settle(|mut stream| stream.read(&mut scratch)).is_none_or(|read| read == 0) {
-                return;
+        let mut dropped = 0;
+        while dropped < most && self.ended.get().is_none() {
+            let room = scratch.len().min(most - dropped);
+            match self.settle(|mut stream| stream.read(&mut scratch[..room])) {
+                Some(0) => self.ended.set(Some(End::Fin)),
+                Some(read) => dropped += read,
+                None => break,
             }
         }
+        dropped
     }
 
-    /// Writes a line of our own to a peer that nothing else is being written to.
+    /// Writes a line of our own, before all else that is to be written. What the system does not take at once goes
+    /// with later calls of `write_own`.
     pub fn tell(&self, line: &str) {
-        let line = format!("{line}\r\n");
-        // A peer that has no room for so little has not read its last answers either.
-        let _ = self.settle(|mut stream| stream.write(line.as_bytes()));
+        self.own.borrow_mut().extend_from_slice(format!("{line}\r\n").as_bytes());
+        self.write_own();
+    }
+
+    /// Goes on with lines of our own, and ends our side after them where that was asked for; whether nothing of them is
+    /// left. Guards against a write that took a part of a line: none but the caller would send the rest.
+    pub fn write_own(&self) -> bool {
+        let mut own = self.own.borrow_mut();
+        while !own.is_empty() {
+            match self.settle(|mut stream| stream.write(&own)) {
+                Some(written) if written > 0 => drop(own.drain(..written)),
+                _ if self.ended.get() == Some(End::Reset) => own.clear(),
+                _ => return false,
+            }
+        }
+        if self.closed.get() == Some(End::Fin) && !self.shut_down.replace(true) {
+            // It fails where the connection has broken, which is heard of by itself.
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        true
     }
 
     /// Writes once from the ring.
     pub fn write(&self, ring: &mut Ring) -> usize {
-        if ring.is_empty() {
+        if !self.write_own() || ring.is_empty() {
             return 0;
         }
         if self.closed.get().is_some() || self.ended.get() == Some(End::Reset) {
@@ -193,10 +219,12 @@
     /// Ends our side: politely, after what is written, or with a reset once the socket is dropped.
     pub fn end(&self, how: End) {
         if self.closed.replace(Some(how)).is_none() {
-            let _ = match how {
-                End::Fin => self.stream.shutdown(Shutdown::Write),
-                End::Reset => socket2::SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)),
-            };
+            match how {
+                End::Fin => drop(self.write_own()),
+                End::Reset => {
+                    let _ = socket2::SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+                }
+            }
         }
     }
 
