--- a/crates/proxy/tests/sockets/calls.rs
+++ b/crates/proxy/tests/sockets/calls.rs
@@ -81,3 +81,25 @@
         assert_eq!(program.exit().0, Some(0));
     }
 }
+
+/// The first call that failed ended the program.
+#[test]
+fn a_start_outlasts_calls_that_fail_for_a_moment() {
+    let errors = [
+        (Call::Socket, libc::ENOMEM),
+        (Call::Socket, libc::ENFILE),
+        (Call::SetOption, libc::ENOBUFS),
+        (Call::Open, libc::EIO),
+        (Call::Open, libc::ENFILE),
+    ];
+    for (call, error) in errors {
+        let plan = Plan::new();
+        let server = Place::new("s1");
+        plan.fail(call, 700, Failure::Error(error));
+        let program = plan.start(USUAL, &[&server]);
+        assert!(plan.failed(call) > 0, "{call:?} has failed");
+        plan.mend(call);
+        let _sides = program.settles(&server);
+        program.ends();
+    }
+}
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Stories of the program on sockets, one for each thing that could go wrong there.
 
 mod calls;
+mod clocks;
 mod crossing;
 mod ending;
 mod faults;
@@ -16,6 +17,7 @@
 mod ready;
 mod rest;
 mod room;
+mod settings;
 mod stand;
 mod told;
 mod watches;
--- a/crates/proxy/tests/sockets/stand.rs
+++ b/crates/proxy/tests/sockets/stand.rs
@@ -1,5 +1,7 @@
 //! Stand-ins on loopback for clients, servers and discovery, and the program itself.
 
+use crate::settings::start_file;
+pub use crate::settings::{Terms, PUSHED, USUAL};
 use rustix::process::{Pid, Signal};
 use rustix::thread::{sched_getcpu, sched_setaffinity, CpuSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -183,48 +185,6 @@
     }
 }
 
-/// What the program is started with.
-pub struct Terms {
-    pub effect: &'static str,
-    pub probes: bool,
-    pub tells_delay: bool,
-    pub sockets: u64,
-    pub dial_ms: u64,
-    /// How long a message may take, and how many connections all servers can hold, if that is told.
-    pub aim_ms: u64,
-    pub quota: &'static str,
-    /// How many proxies there are.
-    pub balancers: &'static str,
-    /// How the list comes.
-    pub discovery: &'static str,
-    /// The longest that a client waits, and how many connects it may have.
-    pub patience_ms: u64,
-    pub connects: u64,
-    /// How long it may go without asking for the list.
-    pub must_ask_ms: u64,
-    /// For all that is left to chance.
-    pub seed: &'static str,
-}
-
-pub const USUAL: Terms = Terms {
-    effect: "repeatable",
-    probes: false,
-    tells_delay: false,
-    sockets: 256,
-    dial_ms: 0,
-    aim_ms: 50,
-    quota: "0",
-    balancers: "null",
-    discovery: "subscribe",
-    patience_ms: 3000,
-    connects: 3,
-    must_ask_ms: 1500,
-    seed: "8c1f30d27a5be964",
-};
-
-/// The list is pushed, by an agent that is watched.
-pub const PUSHED: Terms = Terms { discovery: "automatic", ..USUAL };
-
 pub struct Program {
     pub child: Child,
     log: BufReader<ChildStderr>,
@@ -247,23 +207,7 @@
 
     /// Starts it by a command of the story's own.
     pub fn start_by(command: Command, discovery: Arc<Place>, terms: Terms, known: &[&Place]) -> Self {
-        let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
-        let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, .. } = terms;
-        let Terms { discovery: how, patience_ms, connects, must_ask_ms, seed, .. } = terms;
-        let settings = format!(
-            r#"{{"balancers":{balancers},"discovery":"{how}","offerings":[{{"name":"alarm","idempotency":"{effect}",
-            "patience_ms":{patience_ms}}}],
-            "bounds":{{"most_connects":{connects},"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
-            "invariants":{{"overload_factor":4,"must_ask_in_ms":{must_ask_ms}}},
-            "extra":{{"message_aim_ms":[{aim_ms}],"tells_delay":{tells_delay},"tenant_quota_connections":[{quota}]}}}}"#
-        );
-        let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"{seed}",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
-            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
-            discovery.address,
-            entries.join(",")
-        );
+        let text = start_file(&terms, discovery.address, known);
         Self::begin(command, discovery, text)
     }
 
