--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -247,7 +247,8 @@
                     self.forget(follower);
                     self.ask(follower);
                 }
-                Ok(listing) => {
+                Ok(mut listing) => {
+                    listing.told_at = answer.date;
                     if !answer.keeps {
                         self.socket.take();
                     }
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,6 +1,7 @@
 //! One call over HTTP/1.1 and its answer: bytes in and out, no I/O.
 
 use std::net::SocketAddr;
+use std::time::SystemTime;
 use ureq_proto::client::state::{RecvBody, RecvResponse};
 use ureq_proto::client::{Call, RecvBodyResult, RecvResponseResult, SendRequestResult};
 use ureq_proto::http::{Request, StatusCode};
@@ -30,6 +31,8 @@
 /// An answer that is there to its last byte.
 pub struct Answer {
     pub body: Vec<u8>,
+    /// The peer's own time, where it says so.
+    pub date: Option<SystemTime>,
     /// The connection serves another call.
     pub keeps: bool,
 }
@@ -44,6 +47,7 @@
     part: Option<Part>,
     come: Vec<u8>,
     body: Vec<u8>,
+    date: Option<SystemTime>,
 }
 
 impl Exchange {
@@ -58,7 +62,7 @@
         let Some(SendRequestResult::RecvResponse(call)) = call.proceed()? else {
             return Err(HttpFault::CutOff);
         };
-        Ok((Exchange { part: Some(Part::Head(call)), come: Vec::new(), body: Vec::new() }, bytes))
+        Ok((Exchange { part: Some(Part::Head(call)), come: Vec::new(), body: Vec::new(), date: None }, bytes))
     }
 
     /// Where what comes is put before the next call of `answer`.
@@ -91,7 +95,8 @@
             if whole {
                 let over = call.proceed();
                 let keeps = matches!(over, Some(RecvBodyResult::Cleanup(c)) if !c.must_close_connection());
-                return Ok(Some(Answer { body: std::mem::take(&mut self.body), keeps: keeps && !ended }));
+                let body = std::mem::take(&mut self.body);
+                return Ok(Some(Answer { body, date: self.date, keeps: keeps && !ended }));
             }
             self.part = Some(Part::Body(call));
             if !moved {
@@ -108,6 +113,8 @@
         let (used, head) = call.try_response(&self.come, false)?;
         self.come.drain(..used);
         let Some(head) = head else { return Ok((Part::Head(call), used > 0)) };
+        let date = head.headers().get("date").and_then(|date| date.to_str().ok());
+        self.date = date.and_then(|date| httpdate::parse_http_date(date).ok());
         match call.proceed() {
             Some(RecvResponseResult::RecvBody(call)) if head.status() == StatusCode::OK => {
                 Ok((Part::Body(call), true))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -33,5 +33,6 @@
 mod server;
 mod socket;
 mod spaces;
+mod start_times;
 mod tally;
 mod windows;
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -4,6 +4,7 @@
 use shelfgrade::host::{Listed, Standing};
 use shelfgrade::time::Point;
 use std::net::SocketAddr;
+use std::time::SystemTime;
 
 /// Why a list is refused, which is always whole: the one held before goes on.
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +22,9 @@
     pub whole: bool,
     #[serde(default, rename = "hosts")]
     pub entries: Vec<Entry>,
+    /// Discovery's own time as it told this, where it says so.
+    #[serde(skip)]
+    pub told_at: Option<SystemTime>,
 }
 
 #[derive(Deserialize)]
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -18,6 +18,7 @@
 use crate::socket::Socket;
 use crate::spaces::Spaces;
 use crate::start::{limit_descriptors, Limits, Start};
+use crate::start_times::StartTimes;
 use crate::windows::Windows;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
@@ -39,6 +40,7 @@
     /// The list as the fleet has it, before windows are put on it.
     pub told: BTreeMap<ServerId, (Listed, Option<SocketAddr>)>,
     pub warm_up: Span,
+    start_times: StartTimes,
     pub hands: Hands,
     /// The offerings' names in their order.
     pub offerings: Vec<String>,
@@ -113,6 +115,7 @@
         windows: Windows::default(),
         told: BTreeMap::new(),
         warm_up: start.terms.warm_up,
+        start_times: StartTimes::default(),
         hands,
         offerings: start.terms.offerings,
         door,
@@ -134,6 +137,7 @@
     };
     // With fellows, what is known from before is for the return to judge.
     let known = if fleet.is_some() { Vec::new() } else { start.known.lines() };
+    let known = proxy.start_times.timed(known, now);
     let dials = start.known.entries.iter().map(|entry| entry.dial);
     proxy.hands.follow(known.iter().zip(dials), true);
     proxy.chooser.start(&known, now, &mut proxy.hands);
@@ -345,7 +349,9 @@
         if let Some(taken) = self.list_for_fellows(listing) {
             return taken;
         }
-        let lines = listing.lines();
+        listing.told_at.iter().for_each(|time| self.start_times.discovery_says(*time, now));
+        let lines = self.start_times.timed(listing.lines(), now);
+        self.start_times.list_is_heard();
         self.hands.follow(lines.iter().zip(listing.entries.iter().map(|entry| entry.dial)), listing.whole);
         self.chooser.listed(&lines, listing.whole, now);
         self.hands.take_over_waiting();
--- /dev/null
+++ b/crates/proxy/src/start_times.rs
@@ -0,0 +1,74 @@
+//! When servers started, on this process's clock. The list tells it as Unix time, which this process read once, at its
+//! own start, from a wall clock that may have been off by then.
+
+use shelfgrade::host::{Listed, ServerId, Standing};
+use shelfgrade::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// How many starts are remembered, of servers that are listed and of such as were.
+const REMEMBERED: usize = 1 << 16;
+
+/// A start as the list tells it, and when that was on this clock.
+#[derive(Clone, Copy)]
+struct Start {
+    told: Point,
+    here: Point,
+}
+
+/// The starts that were told so far.
+#[derive(Default)]
+pub struct StartTimes {
+    starts: BTreeMap<ServerId, Start>,
+    /// How far this clock is ahead of discovery's, where that is known; never behind.
+    ahead: Span,
+    /// A list has come from discovery, so that a start which is new on a later one has just happened.
+    heard: bool,
+}
+
+impl StartTimes {
+    /// Discovery has told its time with a list. Guards against a wall clock that was ahead when this process started:
+    /// what had just started then would count as warm. A clock that was behind needs no such word, as no start counts
+    /// as yet to come.
+    pub fn discovery_says(&mut self, time: SystemTime, now: Point) {
+        // The time is told in whole seconds, and its answer takes a moment.
+        const HARMLESS: Span = Span::millis(2000);
+        let theirs = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let ahead = now.since(Point::from_ms(theirs.as_secs_f64() * 1000.0));
+        self.ahead = if ahead > HARMLESS { ahead } else { Span::default() };
+    }
+
+    /// Lines of the list with their starts on this clock. Guards against a wall clock that is off: a start that is new
+    /// on a list counts from when it was heard of, as this process has seen it happen.
+    pub fn timed(&mut self, lines: Vec<Listed>, now: Point) -> Vec<Listed> {
+        if self.starts.len() > REMEMBERED {
+            // Who is forgotten and listed again counts as cold once more.
+            self.starts.clear();
+        }
+        lines.into_iter().map(|line| Listed { started: self.start_of(&line, now), ..line }).collect()
+    }
+
+    fn start_of(&mut self, line: &Listed, now: Point) -> Option<Point> {
+        let told = line.started?;
+        if line.standing == Standing::Gone {
+            return Some(told);
+        }
+        let known = self.starts.get(&line.server).filter(|start| start.told == told);
+        let here = match known {
+            Some(start) => start.here,
+            None if self.heard => now,
+            None => (told + self.ahead).min(now),
+        };
+        self.starts.insert(line.server.clone(), Start { told, here });
+        Some(here)
+    }
+
+    /// A list of discovery's has been gone by.
+    pub fn list_is_heard(&mut self) {
+        self.heard = true;
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/start_times.rs"]
+mod tests;
