--- a/crates/proxy/tests/sockets/crossing.rs
+++ b/crates/proxy/tests/sockets/crossing.rs
@@ -1,7 +1,7 @@
 //! Stories of two things that happen between two turns of the loop, in either order: both are made to wait while the
 //! program stands still, and are found at once when it goes on.
 
-use crate::stand::{list, next_call, Place, Program, USUAL};
+use crate::stand::{list, next_call, Place, Program, Terms, USUAL};
 use rustix::process::Signal;
 use std::time::Duration;
 
@@ -33,6 +33,28 @@
     }
 }
 
+/// Servers drop repeats for so long: the second line was written once its connect was up, however long that took.
+#[test]
+fn nothing_is_sent_again_where_repeats_are_no_longer_dropped_once_its_connect_is_up() {
+    let first = Place::new("s1");
+    let (clogged, _first) = Place::clogged("s2");
+    let program = Program::start(Terms { effect: "by_key", window_ms: 700, ..USUAL }, &[&first]);
+    let (mut watch, _) = program.discovery.called();
+    let mut client = program.opens("lift-1", ",d=6000");
+    let mut at_first = first.accept();
+    assert!(at_first.line().starts_with("OPEN"));
+    watch.say(&list(8, false, &[clogged.entry("in_service")]));
+    assert!(next_call(&mut watch).contains("index=8"));
+    at_first.reset();
+    assert!(client.is_quiet(), "its second connect is on the way");
+    std::thread::sleep(Duration::from_millis(800));
+    let _held = clogged.accept();
+    let mut late = clogged.accept();
+    assert_eq!(late.line(), "", "the first may have run, and is forgotten by now");
+    let answer = client.line();
+    assert!(answer == "ERR" || answer.starts_with("BUSY"), "{answer}");
+}
+
 /// The connect to a server that had been told to drain cost it a connection for nothing.
 #[test]
 fn a_circuit_that_comes_together_with_news_is_placed_by_the_news() {
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod crossing;
 mod ending;
 mod faults;
+mod folders;
 mod gone;
 mod leaving;
 mod life;
--- a/crates/proxy/tests/sockets/settings.rs
+++ b/crates/proxy/tests/sockets/settings.rs
@@ -28,6 +28,8 @@
     /// How long a server is cold, and what part of its capacity it begins with.
     pub cold_ms: u64,
     pub cold_from: f64,
+    /// How long servers drop repeats, where the effect is `by_key`.
+    pub window_ms: u64,
 }
 
 pub const USUAL: Terms = Terms {
@@ -46,6 +48,7 @@
     seed: "8c1f30d27a5be964",
     cold_ms: 0,
     cold_from: 0.0,
+    window_ms: 5000,
 };
 
 /// The list is pushed, by an agent that is watched.
@@ -55,10 +58,12 @@
 pub fn start_file(terms: &Terms, discovery: SocketAddr, known: &[&Place]) -> String {
     let entries: Vec<_> = known.iter().map(|p| p.entry("in_service")).collect();
     let Terms { effect, probes, tells_delay, sockets, dial_ms, aim_ms, quota, balancers, .. } = terms;
-    let Terms { discovery: how, patience_ms, connects, must_ask_ms, seed, cold_ms, cold_from, .. } = terms;
+    let Terms {
+        discovery: how, patience_ms, connects, must_ask_ms, seed, cold_ms, cold_from, window_ms, ..
+    } = terms;
     let settings = format!(
         r#"{{"balancers":{balancers},"discovery":"{how}","offerings":[{{"name":"alarm","idempotency":"{effect}",
-        "patience_ms":{patience_ms}}}],
+        "group":"all","window_ms":{window_ms},"patience_ms":{patience_ms}}}],
         "bounds":{{"most_connects":{connects},"max_retry_after_ms":500,"probes":{probes},"dial_timeout_ms":{dial_ms}}},
         "invariants":{{"overload_factor":4,"must_ask_in_ms":{must_ask_ms},"cold_ms":{cold_ms},"cold_from":{cold_from}}},
         "extra":{{"message_aim_ms":[{aim_ms}],"tells_delay":{tells_delay},"tenant_quota_connections":[{quota}]}}}}"#
