A repeat is looked at again before its line; files are read and written past faults

Cause: the window of by_key was looked at when a connect began, and its line was written once it was up, up to the dial's time later; SIGHUP read its files once; the disk's thread dropped what it could not write, and the end joined it without a bound; an option that could not be set closed an accepted connection without a word.

--- a/crates/proxy/src/choosers.rs
+++ b/crates/proxy/src/choosers.rs
@@ -173,6 +173,10 @@
         self.of(circuit).stands(circuit, now);
     }
 
+    pub fn may_begin(&mut self, circuit: CircuitId, now: Point) -> bool {
+        self.of(circuit).may_begin(circuit, now)
+    }
+
     pub fn ended(&mut self, circuit: CircuitId, ending: Ending, done: bool, now: Point, host: &mut dyn Host) {
         self.of(circuit).ended(circuit, ending, done, now, host);
     }
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -172,7 +172,9 @@
             weak.upgrade().inspect(|caller| caller.ready(proxy));
         });
         if let Err(fault) = watched {
-            return log::warn!("a client's socket: {fault}");
+            log::warn!("a client's connection cannot be watched: {fault}");
+            caller.socket.tell("BUSY");
+            return self.hands.close_after_last_line(caller.socket.clone());
         }
         self.door.callers.insert(caller.number.get(), caller.clone());
         // Most have sent their line by now, and need no place among the callers.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod probe;
 pub mod proxy;
 mod pulse;
+mod reload;
 mod ring;
 mod server;
 mod socket;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -52,11 +52,13 @@
     pub customers: Vec<String>,
     /// The others that it shares with, where a file names them.
     pub fellows: Option<Rc<Fellows<Proxy>>>,
-    name: String,
+    pub name: String,
     /// The size of one ring.
     ring: usize,
     pub stop: LoopSignal,
     pulses_taken: Point,
+    /// When it was told to read its files again, where that is still to be done.
+    pub told_to_reload: Option<Point>,
     /// Since when it has been told to end, and when the last circuit came.
     pub told_to_end: Option<Point>,
     pub course: Course,
@@ -97,7 +99,7 @@
     let door = Door::open(start.listen, &handle)?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
     let signals = handle.insert_source(signals, |event, _, proxy| match event.signal() {
-        Signal::SIGHUP => proxy.told_to_read_again(),
+        Signal::SIGHUP => proxy.told_to_reload(),
         _ => proxy.told_to_end(),
     });
     signals.map_err(|fault| fault.error)?;
@@ -144,6 +146,7 @@
         ring,
         stop: events.get_signal(),
         pulses_taken: now,
+        told_to_reload: None,
         told_to_end: None,
         course: Course::by(start.terms.longest_patience),
         last_arrival: now,
@@ -287,6 +290,7 @@
         }
         self.sweep_callers();
         self.hands.lingering.sweep(self.now());
+        self.reload_if_told();
         self.end_of_waiting();
         self.tell_pulses();
         self.end_when_done();
@@ -321,27 +325,6 @@
             }
         }
     }
-
-    /// Reads the start-up file again and follows its `discovery`; all else in it counts at the next start.
-    /// Guards against a bad file: it leaves everything as it was.
-    fn told_to_read_again(&mut self) {
-        let start = match Start::from_environment() {
-            Ok(start) => start,
-            Err(fault) => return log::error!("not read again, nothing changes: {fault}"),
-        };
-        if let Some(fault) = self.fellows.clone().and_then(|fellows| fellows.read_again(&self.name).err()) {
-            log::error!("fleet file not read again, nothing changes: {fault}");
-        }
-        self.read_namespaces();
-        let moves = self.discovery.clone().move_to(start.discovery, self);
-        log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
-        if moves {
-            // What the new one has counts as told so long after the signal.
-            const COUNTS_AFTER: Span = Span::millis(4000);
-            self.chooser.list_lost(self.now() + COUNTS_AFTER, &mut self.hands);
-            self.settle();
-        }
-    }
 }
 
 impl OnLoop for Proxy {
--- /dev/null
+++ b/crates/proxy/src/reload.rs
@@ -0,0 +1,44 @@
+//! `SIGHUP`: the start-up file, the fleet file, namespaces and the schedule are read again.
+
+use crate::proxy::Proxy;
+use crate::start::Start;
+use shelfgrade::time::Span;
+
+/// What a new discovery has counts as told so long after the signal.
+const COUNTS_AFTER: Span = Span::millis(4000);
+
+impl Proxy {
+    pub fn told_to_reload(&mut self) {
+        self.told_to_reload.get_or_insert(self.now());
+        self.reload_if_told();
+    }
+
+    /// Called with each tick too: reads the start-up file again and follows its `discovery`; all else in it counts at the
+    /// next start. Guards against a bad file, which leaves everything as it was, and against one that cannot be read
+    /// for a moment, which is read with a later tick.
+    pub fn reload_if_told(&mut self) {
+        let Some(told) = self.told_to_reload else { return };
+        let start = match Start::from_environment() {
+            Ok(start) => start,
+            Err(fault) if fault.is_transient() => return log::debug!("read again later: {fault}"),
+            Err(fault) => {
+                self.told_to_reload = None;
+                return log::error!("not read again, nothing changes: {fault}");
+            }
+        };
+        let fellows = self.fellows.clone();
+        match fellows.map_or(Ok(()), |fellows| fellows.read_again(&self.name)) {
+            Ok(()) => {}
+            Err(fault) if fault.is_transient() => return log::debug!("read again later: {fault}"),
+            Err(fault) => log::error!("fleet file not read again, nothing changes: {fault}"),
+        }
+        self.told_to_reload = None;
+        self.read_namespaces();
+        let moves = self.discovery.clone().move_to(start.discovery, self);
+        log::info!("read again: discovery {}{}", start.discovery, if moves { "" } else { ", as before" });
+        if moves {
+            self.chooser.list_lost(told + COUNTS_AFTER, &mut self.hands);
+            self.settle();
+        }
+    }
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -148,7 +148,7 @@
             }
             match up {
                 Ok(false) => return false,
-                Ok(true) if self.may_begin(&connect) => {
+                Ok(true) if self.may_begin(&connect, proxy) => {
                     let line = self.opening.for_server(connect.gives_up.since(proxy.now()));
                     let mut first = Ring::new(line.len());
                     first.push(line.as_bytes());
@@ -193,10 +193,11 @@
 
     /// Guards against something new at a server that was listed as draining, or went, while its connect came
     /// up, and against a line for one that has closed the connection by now: nothing is sent then, which proves that
-    /// nothing ran.
-    fn may_begin(&self, connect: &Connect) -> bool {
+    /// nothing ran. Whether it may still be sent again the decisions say.
+    fn may_begin(&self, connect: &Connect, proxy: &mut Proxy) -> bool {
         let wanted = connect.server.standing.get() == Standing::Active || self.is_taken_over();
-        wanted && !connect.socket.has_left()
+        let now = proxy.now();
+        wanted && proxy.chooser.may_begin(self.id, now) && !connect.socket.has_left()
     }
 
     fn current(&self, connect: &Rc<Connect>) -> bool {
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -39,7 +39,10 @@
 impl<T> Socket<T> {
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
+        // Without it small writes may wait for each other, which is no cause to close a connection.
+        if let Err(fault) = stream.set_nodelay(true) {
+            log::debug!("no TCP_NODELAY: {fault}");
+        }
         Ok(Socket {
             stream: Rc::new(stream),
             watch: Cell::default(),
--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -24,9 +24,9 @@
     starts: BTreeMap<ServerId, Start>,
     /// How far this clock is ahead of discovery's, where that is known; never behind.
     ahead: Span,
-    /// The least time between a start, as told, and when it was heard of: the list's lateness at its best, and how far
-    /// this clock is ahead of that by which starts are told.
-    least_late: Option<Span>,
+    /// The least time between a start, as told, and when it was heard of, in milliseconds: the list's lateness at its
+    /// best, and how far this clock is ahead of that by which starts are told, or behind it.
+    least_late_ms: Option<f64>,
     /// A list has come from discovery, so that a start which is new on a later one has just happened.
     heard: bool,
 }
@@ -71,10 +71,10 @@
     /// When a start was that this process has seen happen: as long ago as the list is later than at its best. The first
     /// one, and any that would be longer ago than a list is late, counts from now.
     fn just_happened(&mut self, told: Point, now: Point) -> Point {
-        let late = now.since(told);
-        let least = self.least_late.map_or(late, |least| least.min(late));
-        self.least_late = Some(least);
-        let here = (told + least).min(now);
+        let late_ms = now.as_ms() - told.as_ms();
+        let least_ms = self.least_late_ms.map_or(late_ms, |least| least.min(late_ms));
+        self.least_late_ms = Some(least_ms);
+        let here = Point::from_ms(told.as_ms() + least_ms).min(now);
         if now.since(here) > LIST_IS_LATE {
             now
         } else {
--- /dev/null
+++ b/crates/proxy/tests/unit/disk.rs
@@ -0,0 +1,64 @@
+//! Stories of `disk.rs` from within.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// Waits until the file of this number holds these bytes.
+fn is_written(folder: &Path, number: u64, bytes: &[u8]) {
+    let began = Instant::now();
+    while fs::read(path(folder, generation(number))).ok().as_deref() != Some(bytes) {
+        assert!(began.elapsed() < Duration::from_secs(4), "not in time");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// It was dropped: whoever had handed it over took it for written.
+#[test]
+fn what_cannot_be_written_is_tried_again_until_it_can_be() {
+    let parent = tempfile::tempdir().unwrap();
+    let folder = parent.path().join("not-there-yet");
+    let disk = Disk::begin(&folder);
+    assert!(disk.write(3, b"state".to_vec()));
+    std::thread::sleep(Duration::from_millis(100));
+    fs::create_dir(&folder).unwrap();
+    is_written(&folder, 3, b"state");
+}
+
+#[test]
+fn what_is_newer_takes_the_place_of_what_could_not_be_written() {
+    let parent = tempfile::tempdir().unwrap();
+    let folder = parent.path().join("not-there-yet");
+    let disk = Disk::begin(&folder);
+    for number in 3..9 {
+        while !disk.write(number, number.to_string().into_bytes()) {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+    fs::create_dir(&folder).unwrap();
+    is_written(&folder, 8, b"8");
+    assert!(!path(&folder, generation(7)).exists(), "no older one is written any more");
+}
+
+/// A write that hangs held the process up past its end.
+#[test]
+fn the_end_does_not_wait_for_a_disk_that_hangs() {
+    let folder = tempfile::tempdir().unwrap();
+    // Opening it for writing waits for a reader that never comes.
+    rustix::fs::mkfifoat(rustix::fs::CWD, folder.path().join("shelfgrade.new"), 0o600.into()).unwrap();
+    let disk = Disk::begin(folder.path());
+    let (over, is_over) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        disk.end(1, b"last".to_vec());
+        over.send(()).unwrap();
+    });
+    is_over.recv_timeout(Duration::from_secs(2)).expect("it ends");
+}
+
+#[test]
+fn the_end_waits_for_what_can_be_written() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = Disk::begin(folder.path());
+    assert!(disk.write(1, b"one".to_vec()));
+    disk.end(2, b"last".to_vec());
+    assert_eq!(fs::read(path(folder.path(), generation(2))).unwrap(), b"last");
+}
--- a/src/choice/again.rs
+++ b/src/choice/again.rs
@@ -1,25 +1,38 @@
 //! Whether a circuit may be sent again, and where: no effect happens twice.
 
 use crate::host::{Circle, Effect, Ending};
-use crate::record::{Circuit, Server};
-use crate::time::Point;
+use crate::record::{Circuit, Connect, Server};
+use crate::time::{Point, Span};
 use std::rc::Rc;
 
+/// A process may be held up for so long between its look at the clock and its write.
+const HELD_UP: Span = Span::millis(150);
+
+/// The first connect that may have run, which binds all that follows.
+fn may_have_run(connects: &[Connect]) -> Option<(Rc<Server>, Point)> {
+    let first = connects.iter().find(|c| !c.ending.is_some_and(Ending::proves_unrun))?;
+    Some((first.server.clone(), first.sent))
+}
+
 impl Circuit {
-    /// The first connect that may have run, which binds all that follows.
-    fn may_have_run(&self) -> Option<(Rc<Server>, Point)> {
+    /// Guards against an effect happening twice: where the circuit may be sent now.
+    pub(super) fn may_go_to(&self, server: &Server, now: Point) -> bool {
+        self.may_follow(&self.connects.borrow(), server, now)
+    }
+
+    /// Whether its last connect, which has come up, may carry its first line now. Guards against a connect that takes
+    /// so long to come up that repeats are no longer dropped by then.
+    pub(super) fn may_begin(&self, now: Point) -> bool {
         let connects = self.connects.borrow();
-        let first = connects.iter().find(|c| !c.ending.is_some_and(Ending::proves_unrun))?;
-        Some((first.server.clone(), first.sent))
+        connects.split_last().is_none_or(|(last, earlier)| self.may_follow(earlier, &last.server, now))
     }
 
-    /// Guards against an effect happening twice: where the circuit may be sent now.
-    pub(super) fn may_go_to(&self, server: &Server, now: Point) -> bool {
-        let Some((first, sent)) = self.may_have_run() else { return true };
+    fn may_follow(&self, earlier: &[Connect], server: &Server, now: Point) -> bool {
+        let Some((first, sent)) = may_have_run(earlier) else { return true };
         match self.effect {
             Effect::Replayable => true,
             Effect::SingleUse => false,
-            Effect::Referenced { window, .. } if now.since(sent) >= window => false,
+            Effect::Referenced { window, .. } if now.since(sent) + HELD_UP >= window => false,
             Effect::Referenced { among: Circle::All, .. } => true,
             Effect::Referenced { among: Circle::Zone, .. } => first.kin[0] == server.kin[0],
             Effect::Referenced { among: Circle::Cell, .. } => first.cell == server.cell,
@@ -29,6 +42,6 @@
     /// Whether a pushback's promise, that another try is harmless, would be true.
     pub(super) fn may_push_back(&self) -> bool {
         matches!(self.effect, Effect::Replayable | Effect::Referenced { among: Circle::All, .. })
-            || self.may_have_run().is_none()
+            || may_have_run(&self.connects.borrow()).is_none()
     }
 }
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Whether the circuit's connect that has just come up may carry its first line; else nothing is sent on it.
+    pub fn may_begin(&self, circuit: CircuitId, now: Point) -> bool {
+        self.circuits.get(&circuit).is_none_or(|circuit| circuit.may_begin(now))
+    }
+
     /// The load of a standing connection, in work a second.
     pub fn load_is(&mut self, circuit: CircuitId, load: f64) {
         self.circuits.get(&circuit).inspect(|c| c.load.set(load));
