--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -15,6 +15,9 @@
 // What one server is taken to hold, in connections, where nothing tells; deployments that tell have 29 to 47.
 const HOLDS: f64 = 30.0;
 
+// The span in which a cold server's budget is counted, where the settings do not tell.
+const OVERLOAD_SPAN: Span = Span::millis(2000);
+
 /// Why settings cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum TermsFault {
@@ -124,6 +127,8 @@
     cold_ms: Amount,
     overload_factor: Amount,
     #[serde(default)]
+    overload_for_ms: Amount,
+    #[serde(default)]
     must_ask_in_ms: Amount,
 }
 
@@ -184,6 +189,9 @@
         cold_from: invariants.cold_from.0,
         cold_span: Span::from_ms(invariants.cold_ms.0),
         fall_multiple: invariants.overload_factor.0,
+        overload_span: Some(invariants.overload_for_ms.0)
+            .filter(|ms| *ms > 0.0)
+            .map_or(OVERLOAD_SPAN, Span::from_ms),
         all_hold,
         each_holds: extra.server_connections.map_or(HOLDS, |each| each.get() as f64),
         proxies: proxies as f64,
--- a/crates/trials/src/decisions.rs
+++ b/crates/trials/src/decisions.rs
@@ -97,6 +97,7 @@
             cold_from: 0.3,
             cold_span: Span::millis(8600),
             fall_multiple: 4.0,
+            overload_span: Span::millis(2000),
             all_hold: Some(CONNECTIONS as f64),
             each_holds: 0.0,
             proxies: PROXIES as f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 //!     cold_from: 0.3,
 //!     cold_span: Span::millis(8000),
 //!     fall_multiple: 3.0,
+//!     overload_span: Span::millis(2000),
 //!     all_hold: None,
 //!     each_holds: 30.0,
 //!     proxies: 3.0,
--- a/src/record.rs
+++ b/src/record.rs
@@ -80,10 +80,10 @@
     // As long as it takes a crowd of clients to come back.
     pub(crate) const JUST_BEFORE: Span = Span::millis(2000);
 
-    /// How many circuits came just now, the last one included.
-    pub(crate) fn crowd(&self, now: Point) -> f64 {
+    /// How many circuits came within such a span, the last one included.
+    pub(crate) fn crowd(&self, within: Span, now: Point) -> f64 {
         let mut arrivals = self.arrivals.borrow_mut();
-        let past = arrivals.partition_point(|at| now.since(*at) > Self::JUST_BEFORE);
+        let past = arrivals.partition_point(|at| now.since(*at) > within);
         arrivals.drain(..past);
         arrivals.len().max(1) as f64
     }
@@ -165,15 +165,19 @@
     /// Keeps that a connect goes out to it.
     pub(crate) fn note_sent(&self, now: Point) {
         self.waiting.set(self.waiting.get() + 1);
-        // Far more than a proxy may send to a cold one.
-        const SAMPLES: usize = 64;
-        keep_last(SAMPLES, now, &mut self.sent.borrow_mut());
+        // Longer than any server's warm-up is counted in, and far more than a proxy may send to a cold one in it.
+        const KEPT_FOR: Span = Span::millis(10_000);
+        const SAMPLES: usize = 4096;
+        let mut sent = self.sent.borrow_mut();
+        let past = sent.partition_point(|at| now.since(*at) > KEPT_FOR);
+        sent.drain(..past);
+        keep_last(SAMPLES, now, &mut sent);
     }
 
-    /// How many connects this proxy sent to it just before.
-    pub(crate) fn sent_just_before(&self, now: Point) -> f64 {
+    /// How many connects this proxy sent to it within such a span.
+    pub(crate) fn sent_within(&self, span: Span, now: Point) -> f64 {
         let sent = self.sent.borrow();
-        sent.iter().rev().take_while(|at| now.since(**at) <= Shelf::JUST_BEFORE).count() as f64
+        sent.iter().rev().take_while(|at| now.since(**at) <= span).count() as f64
     }
 
     /// Keeps how long a probe took; how many times as long as its quickest.
@@ -196,6 +200,8 @@
     pub cold_from: f64,
     pub cold_span: Span,
     pub fall_multiple: f64,
+    /// The span in which a cold server falls when it gets more than that; the budget is counted in it.
+    pub overload_span: Span,
     /// What all servers together can hold, in connections, where customers' bounds tell; else what each can.
     pub all_hold: Option<f64>,
     pub each_holds: f64,
@@ -208,7 +214,7 @@
         self.all_hold.unwrap_or(self.each_holds * servers as f64) / self.proxies
     }
 
-    /// How many connects those can take just now that together hold `part` and are as warm as this server.
+    /// How many connects those can take in one overload span that together hold `part` and are as warm as this server.
     pub(crate) fn budget(&self, server: &Server, part: f64, now: Point) -> f64 {
         let present = self.cold_from + (1.0 - self.cold_from) * self.warmth(server, now);
         // A cold server can take what fills it over its warm-up.
--- a/tests/stories/told.rs
+++ b/tests/stories/told.rs
@@ -18,6 +18,7 @@
         cold_from: 0.3,
         cold_span: Span::millis(8000),
         fall_multiple: 3.0,
+        overload_span: Span::millis(2000),
         all_hold: None,
         each_holds: 30.0,
         proxies: proxies as f64,
