--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -11,7 +11,7 @@
         const USED: f64 = 0.5;
         let budget = self.budget(server, part, now);
         // Guards against a run of chance or of one group: past this proxy's part of the budget none follows.
-        let sent = server.sent_within(crate::record::Shelf::JUST_BEFORE, now);
+        let sent = server.sent_within(self.overload_span, now);
         let left = if sent == 0.0 { 1.0 } else { (budget / many - sent).clamp(0.0, 1.0) };
         (budget * USED * left / crowd).min(most).max(self.warmth(server, now).floor())
     }
--- a/src/record.rs
+++ b/src/record.rs
@@ -218,7 +218,7 @@
     pub(crate) fn budget(&self, server: &Server, part: f64, now: Point) -> f64 {
         let present = self.cold_from + (1.0 - self.cold_from) * self.warmth(server, now);
         // A cold server can take what fills it over its warm-up.
-        part * Shelf::JUST_BEFORE.over(self.cold_span) * self.fall_multiple * present
+        part * self.overload_span.over(self.cold_span) * self.fall_multiple * present
     }
 
     /// From 0, just started, to 1, warm.
