--- a/crates/proxy/tests/sockets/calls.rs
+++ b/crates/proxy/tests/sockets/calls.rs
@@ -82,6 +82,21 @@
     }
 }
 
+/// A part of `PING` was sent, and the rest of it never: the server was taken for silent.
+#[test]
+fn a_short_write_leaves_no_part_of_a_sign_of_life() {
+    let plan = Plan::new();
+    let server = Place::new("s1");
+    let program = plan.start(Terms { probes: true, ..USUAL }, &[&server]);
+    plan.fail(Call::Send, 1000, Failure::Short);
+    let _sides = program.settles(&server);
+    let mut sign = server.accept();
+    for _ in 0..2 {
+        assert_eq!(sign.line(), "PING");
+        sign.say("PONG\r\n");
+    }
+}
+
 /// The first call that failed ended the program.
 #[test]
 fn a_start_outlasts_calls_that_fail_for_a_moment() {
--- a/crates/proxy/tests/sockets/peers.rs
+++ b/crates/proxy/tests/sockets/peers.rs
@@ -26,7 +26,7 @@
     }
     let mut half = program.client();
     half.say("OPEN 0123456789abcdef lif").finish();
-    assert_eq!(half.line(), "");
+    assert_eq!((half.line(), half.line()), ("ERR".into(), "".into()));
     let (mut other, mut its_server) = program.settles(&server);
     its_server.say(&"y".repeat(5000));
     within(LONG, || other.line().is_empty().then_some(()));
@@ -57,6 +57,21 @@
     assert!(program.ends().contains("ids in use 2"));
 }
 
+/// What came with the end was dropped unread, and the connection closed without a word.
+#[test]
+fn who_ends_its_sending_behind_a_line_has_an_answer() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let answers = [("PING\r\n", "PONG"), ("OPEN what\r\n", "ERR"), ("x", "ERR"), ("", "")];
+    for (line, answer) in answers {
+        let mut client = program.client();
+        client.say(line).finish();
+        assert_eq!(client.line(), answer, "{line}");
+        assert_eq!(client.line(), "");
+    }
+    program.ends();
+}
+
 #[test]
 fn pings_are_answered_until_the_first_line_comes_and_nothing_may_follow_that() {
     let server = Place::new("s1");
