--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -3,7 +3,7 @@
 
 use crate::line::{whole, Open, LONGEST};
 use crate::proxy::Proxy;
-use crate::socket::Socket;
+use crate::socket::{End, Socket};
 use shelfgrade::time::Point;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -41,9 +41,14 @@
         let mut begun = self.begun.borrow_mut();
         self.socket.write_own();
         while self.socket.take(&mut begun, LONGEST + 3) > 0 {}
-        let gone = self.socket.ended.get().is_some();
+        let ended = self.socket.ended.get();
         match begun.iter().position(|b| *b == b'\n') {
-            _ if gone => proxy.door.forget(self),
+            _ if ended == Some(End::Reset) || ended.is_some() && begun.is_empty() => proxy.door.forget(self),
+            _ if ended.is_some() => {
+                let line = std::mem::take(&mut *begun);
+                drop(begun);
+                self.ends_behind(&line, proxy);
+            }
             // Guards against serving whoever does not wait for an answer: all that came is refused.
             Some(end) if end + 1 < begun.len() => self.refuse("ERR", "more than a first line", proxy),
             Some(_) => {
@@ -56,6 +61,13 @@
         }
     }
 
+    /// It has ended its sending behind this, and may still read. Nothing begins for it, as it may have gone.
+    fn ends_behind(&self, sent: &[u8], proxy: &mut Proxy) {
+        let asks = whole(sent) == Some("PING") && !proxy.early.waits();
+        let answer = if asks && proxy.is_ready() { "PONG" } else { "ERR" };
+        self.refuse(answer, "clients gone unanswered", proxy);
+    }
+
     fn says(&self, line: &[u8], proxy: &mut Proxy) {
         let line = whole(line);
         if line == Some("PING") {
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -10,14 +10,14 @@
 impl Circuit {
     /// Whether the client still waits for its answer, and does nothing else. Guards against an attempt for one that
     /// has gone, by a close, a reset or an end of its sending alone, with no event of that heard yet, and against
-    /// serving whoever does not wait.
+    /// serving whoever does not wait. An end of its sending cannot be told from a close: it has its answer all the same.
     pub fn still_asks(&self, hands: &mut Hands) -> bool {
         if self.client.rests() {
             return true;
         }
         if self.client.ended.get().is_some() {
             hands.tally.count("clients gone unanswered");
-            self.close(hands);
+            self.answer("ERR", hands);
         } else {
             hands.tally.complain("lines before an answer");
             self.answer("ERR", hands);
--- a/crates/proxy/src/door.rs
+++ b/crates/proxy/src/door.rs
@@ -215,7 +215,12 @@
         // Guards against putting out a front that has asked for a sign of life and waits for it.
         let late = self.door.callers().take_while(is_late).filter(|caller| !caller.waits_for_sign());
         for caller in late.cloned().collect::<Vec<_>>() {
-            caller.refuse("ERR", "silent callers", self);
+            // Its line may lie there.
+            caller.ready(self);
+            let is_late = self.now().since(caller.since.get()) > FIRST_LINE_WITHIN;
+            if is_late && self.door.holds(&caller) {
+                caller.refuse("ERR", "silent callers", self);
+            }
         }
     }
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -71,7 +71,7 @@
 
     fn flush(&self) {
         if self.socket.is_up().is_ok_and(|up| up) {
-            self.socket.write(&mut self.out.borrow_mut());
+            while self.socket.write(&mut self.out.borrow_mut()) > 0 {}
         }
     }
 
