--- a/crates/proxy/tests/sockets/calls.rs
+++ b/crates/proxy/tests/sockets/calls.rs
@@ -1,7 +1,7 @@
 //! Stories of system calls that fail for a moment, or do part of what was asked for, as Linux documents.
 
 use crate::plan::{Call, Failure, Plan};
-use crate::stand::{Place, Terms, Wire, USUAL};
+use crate::stand::{within, Place, Terms, Wire, LONG, USUAL};
 use std::time::{Duration, Instant};
 
 /// Has a server answer each connection's first line with this, and end it, until the test is over.
@@ -129,3 +129,57 @@
     let _sides = program.settles(&server);
     assert!(plan.failed(Call::SetOption) > 0);
 }
+
+/// A failure that is over by itself was taken for a broken connection: both sides were ended, without a `MOVE`.
+#[test]
+fn lines_pass_once_the_system_takes_and_gives_them_again() {
+    for (call, error) in [
+        (Call::Send, libc::ENOBUFS),
+        (Call::Send, libc::ENOMEM),
+        (Call::Receive, libc::ENOMEM),
+        (Call::Receive, libc::EINTR),
+    ] {
+        let plan = Plan::new();
+        let server = Place::new("s1");
+        let program = plan.start(USUAL, &[&server]);
+        let (mut client, mut at_server) = program.settles(&server);
+        let mut bad = program.client();
+        assert_eq!(bad.say("PING\r\n").line(), "PONG");
+        let before = plan.failed(call);
+        plan.fail(call, 1000, Failure::Error(error));
+        client.say("M 1\r\n");
+        at_server.say("NEWS\r\n");
+        bad.say("NONSENSE\r\n");
+        within(LONG, || (plan.failed(call) > before + 3).then_some(()));
+        std::thread::sleep(Duration::from_millis(100));
+        plan.mend(call);
+        assert_eq!((at_server.line(), client.line()), ("M 1".into(), "NEWS".into()), "{call:?} {error}");
+        assert_eq!((bad.line(), bad.line()), ("ERR".into(), "".into()), "{call:?} {error}");
+        drop((client, at_server));
+        program.ends();
+    }
+}
+
+/// Whatever a read brings, and however often none is possible, lines and lists are put together.
+#[test]
+fn short_reads_and_failures_in_between_change_nothing() {
+    let plan = Plan::new();
+    let server = Place::new("s1");
+    let entry = [server.entry("in_service")];
+    let program = plan.start(Terms { probes: true, ..USUAL }, &[&server]);
+    for failure in [Failure::Short, Failure::Error(libc::EINTR), Failure::Error(libc::ENOMEM)] {
+        plan.fail(Call::Receive, 600, failure);
+        let sides: Vec<_> = (0..8).map(|_| program.settles(&server)).collect();
+        for (mut client, mut at_server) in sides {
+            client.say("M 1\r\nM 2\r\n");
+            assert_eq!((at_server.line(), at_server.line()), ("M 1".into(), "M 2".into()));
+            at_server.say("M 1\r\nBYE\r\n").finish();
+            assert_eq!(
+                (client.line(), client.line(), client.line()),
+                ("M 1".into(), "BYE".into(), "".into())
+            );
+        }
+    }
+    let _watch = program.hears(&entry);
+    program.ends();
+}
