--- a/crates/proxy/src/early.rs
+++ b/crates/proxy/src/early.rs
@@ -2,7 +2,10 @@
 //! the first moment of a process, so nobody is placed by the old list while the new one is on its way.
 
 use crate::circuit::{Circuit, Stage};
+use crate::clock::duration;
+use crate::hands::Hands;
 use crate::proxy::Proxy;
+use calloop::timer::{TimeoutAction, Timer};
 use shelfgrade::host::{Arrival, Turn};
 use shelfgrade::time::{Point, Span};
 use std::rc::{Rc, Weak};
@@ -45,11 +48,23 @@
         self.until.is_some()
     }
 
-    pub fn holds(&mut self, circuit: &Rc<Circuit>) {
+    /// Keeps a circuit until then, and no longer than half of its patience.
+    pub fn holds(&mut self, circuit: &Rc<Circuit>, hands: &Hands) {
         self.circuits.push(Rc::downgrade(circuit));
+        let timer = Timer::from_duration(duration(longest_wait(circuit)));
+        let set = hands.handle.insert_source(timer, |_, _, proxy| {
+            proxy.end_of_waiting();
+            TimeoutAction::Drop
+        });
+        hands.tally.must(set.is_ok(), "a timer can be set");
     }
 }
 
+/// How long a circuit may wait for the list.
+fn longest_wait(circuit: &Circuit) -> Span {
+    circuit.opening.patience.times(0.5)
+}
+
 impl Proxy {
     /// The list has been heard, or is waited for no longer: who came early has its turn, in the order of coming.
     pub fn list_is_here(&mut self) {
@@ -63,7 +78,8 @@
         self.door.callers().for_each(|caller| caller.answer_sign(ready));
     }
 
-    /// Called with each beat: nobody waits past the bound, and no circuit past half of its patience.
+    /// Called with each beat, and for each circuit when its time is up: nobody waits past the bound, and no circuit past
+    /// half of its patience.
     pub fn end_of_waiting(&mut self) {
         let now = self.now();
         let Some(until) = self.early.until else { return };
@@ -71,7 +87,7 @@
             log::warn!("no list has come yet: serving with the one known at the start");
             return self.list_is_here();
         }
-        let impatient = |c: &Rc<Circuit>| now.since(c.since.get()) >= c.opening.patience.times(0.5);
+        let impatient = |c: &Rc<Circuit>| now.since(c.since.get()) >= longest_wait(c);
         let due = self.early.circuits.extract_if(.., |c| c.upgrade().as_ref().is_none_or(impatient));
         for circuit in due.collect::<Vec<_>>().iter().filter_map(Weak::upgrade) {
             self.place(&circuit);
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -209,7 +209,7 @@
             self.hands.tally.count("circuits");
             self.last_arrival = now;
             if self.early.waits() && self.fellows.is_none() {
-                self.early.holds(&circuit);
+                self.early.holds(&circuit, &self.hands);
             } else {
                 self.place(&circuit);
             }
