--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -19,6 +19,7 @@
 mod rest;
 mod room;
 mod settings;
+mod soak;
 mod stand;
 mod told;
 mod watches;
