--- a/crates/proxy/tests/sockets/peers.rs
+++ b/crates/proxy/tests/sockets/peers.rs
@@ -1,6 +1,7 @@
 //! Stories of peers that do not keep to the protocol.
 
 use crate::stand::{within, Place, Program, Terms, Wire, LONG, USUAL};
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -104,6 +105,42 @@
     within(left, || (program.descriptors() <= before + 3).then_some(()));
 }
 
+/// A connection that has asked for a sign of life and rests is put out after two seconds: requests come just before that,
+/// with it, and just after.
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_has_a_whole_answer() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    std::thread::spawn(move || {
+        let mut served = Vec::new();
+        loop {
+            served.extend(server.try_accept().map(|mut wire| {
+                wire.line();
+                wire.say("UP 0123\r\n");
+                wire
+            }));
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    });
+    let crosses = |i: u64| {
+        let mut client = program.client();
+        assert_eq!(client.say("PING\r\n").line(), "PONG");
+        (client, Instant::now() + Duration::from_millis(1990 + 3 * i), i)
+    };
+    let mut answers = [0, 0];
+    let resting: Vec<_> = (0..48).map(crosses).collect();
+    for (mut client, at, i) in resting {
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        let _ = client.stream.write_all(format!("OPEN 9b1f03bb{i:08x} lift-1 c=alarm,d=3000\r\n").as_bytes());
+        match client.line().as_str() {
+            "UP 0123" => answers[0] += 1,
+            "ERR" => answers[1] += 1,
+            answer => panic!("{answer:?} {i}"),
+        }
+    }
+    assert!(answers[0] > 0 && answers[1] > 0, "before and after: {answers:?}");
+}
+
 #[test]
 fn out_of_descriptors_it_pushes_back_and_recovers_and_none_leaks() {
     let server = Place::new("s1");
