The mean share of a cold server goes by two seconds again, its cap by the settings' span

Change: crowd and mean share by two seconds, the cap on what a proxy itself sends by overload_for_ms.

--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -1,6 +1,6 @@
 //! What a server that just started may be sent, and how much of the fleet this proxy sees.
 
-use crate::record::{Server, WarmUp};
+use crate::record::{Server, Shelf, WarmUp};
 use crate::time::Point;
 
 impl WarmUp {
@@ -9,11 +9,11 @@
     pub(super) fn share(&self, server: &Server, [part, crowd, most, many]: [f64; 4], now: Point) -> f64 {
         // Half of the budget is left for chance, beside 2 x its root + 2.
         const USED: f64 = 0.5;
-        let budget = self.budget(server, part, now);
-        // Guards against a run of chance or of one group: past this proxy's part of the budget none follows.
+        let budget = |span| self.budget(server, part, span, now);
+        // Guards against a rush, a run of chance or of one group: past this proxy's part of the budget none follows.
         let sent = server.sent_within(self.overload_span, now);
-        let left = if sent == 0.0 { 1.0 } else { (budget / many - sent).clamp(0.0, 1.0) };
-        (budget * USED * left / crowd).min(most).max(self.warmth(server, now).floor())
+        let left = if sent == 0.0 { 1.0 } else { (budget(self.overload_span) / many - sent).clamp(0.0, 1.0) };
+        (budget(Shelf::JUST_BEFORE) * USED * left / crowd).min(most).max(self.warmth(server, now).floor())
     }
 
     /// Whether a key is among those, the same at every proxy, that are placed as if no server were in sight:
--- a/src/choice/placement.rs
+++ b/src/choice/placement.rs
@@ -35,7 +35,7 @@
         let part = (self.warm_up.part(servers.len()) * self.shelf.parts.get()).max(open + 1.0);
         // Guards against a group's wave back to one cold server, where new ones spread over three.
         const MORE: usize = 2;
-        let crowd = self.shelf.crowd(self.warm_up.overload_span, now);
+        let crowd = self.shelf.crowd(now);
         let blind = circuit.group.is_some() && self.warm_up.out_of_sight(circuit.key, servers.len());
         let most = if circuit.returned && blind { 1.0 / (1.0 + MORE as f64) } else { 1.0 };
         let first = circuit.turn.map_or(1.0 - draw, |turn| turn.before);
--- a/src/record.rs
+++ b/src/record.rs
@@ -80,10 +80,10 @@
     // As long as it takes a crowd of clients to come back.
     pub(crate) const JUST_BEFORE: Span = Span::millis(2000);
 
-    /// How many circuits came within such a span, the last one included.
-    pub(crate) fn crowd(&self, within: Span, now: Point) -> f64 {
+    /// How many circuits came just now, the last one included.
+    pub(crate) fn crowd(&self, now: Point) -> f64 {
         let mut arrivals = self.arrivals.borrow_mut();
-        let past = arrivals.partition_point(|at| now.since(*at) > within);
+        let past = arrivals.partition_point(|at| now.since(*at) > Self::JUST_BEFORE);
         arrivals.drain(..past);
         arrivals.len().max(1) as f64
     }
@@ -200,7 +200,7 @@
     pub cold_from: f64,
     pub cold_span: Span,
     pub fall_multiple: f64,
-    /// The span in which a cold server falls when it gets more than that; the budget is counted in it.
+    /// The span in which a cold server falls when it gets more than that; the budget is kept to in it.
     pub overload_span: Span,
     /// What all servers together can hold, in connections, where customers' bounds tell; else what each can.
     pub all_hold: Option<f64>,
@@ -214,11 +214,11 @@
         self.all_hold.unwrap_or(self.each_holds * servers as f64) / self.proxies
     }
 
-    /// How many connects those can take in one overload span that together hold `part` and are as warm as this server.
-    pub(crate) fn budget(&self, server: &Server, part: f64, now: Point) -> f64 {
+    /// How many connects those can take in such a span that together hold `part` and are as warm as this server.
+    pub(crate) fn budget(&self, server: &Server, part: f64, span: Span, now: Point) -> f64 {
         let present = self.cold_from + (1.0 - self.cold_from) * self.warmth(server, now);
         // A cold server can take what fills it over its warm-up.
-        part * self.overload_span.over(self.cold_span) * self.fall_multiple * present
+        part * span.over(self.cold_span) * self.fall_multiple * present
     }
 
     /// From 0, just started, to 1, warm.
