--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -195,7 +195,7 @@
     }
 
     /// Looks after what no event comes for.
-    pub fn beat(&self, proxy: &mut Proxy) {
+    pub fn tick(&self, proxy: &mut Proxy) {
         // Long enough for a peer to end its side too, short enough to free the descriptors.
         const LAST_BYTES_WITHIN: Span = Span::millis(2000);
         // A line begun by the server must not be held up for longer than a second.
--- a/crates/proxy/src/early.rs
+++ b/crates/proxy/src/early.rs
@@ -78,7 +78,7 @@
         self.door.callers().for_each(|caller| caller.answer_sign(ready));
     }
 
-    /// Called with each beat, and for each circuit when its time is up: nobody waits past the bound, and no circuit past
+    /// Called with each tick, and for each circuit when its time is up: nobody waits past the bound, and no circuit past
     /// half of its patience.
     pub fn end_of_waiting(&mut self) {
         let now = self.now();
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -2,7 +2,7 @@
 //! runs out.
 
 use crate::circuit::{Circuit, Stage};
-use crate::proxy::{Proxy, BEAT};
+use crate::proxy::{Proxy, TICK};
 use shelfgrade::time::{Point, Span};
 use std::rc::Rc;
 
@@ -27,7 +27,7 @@
 
 impl Course {
     pub fn by(longest_patience: Option<Span>) -> Self {
-        // Enough for last lines to be read and for one more look, beats being a tenth of a second apart.
+        // Enough for last lines to be read and for one more look, ticks being a tenth of a second apart.
         const LAST_WORDS: Span = Span::millis(500);
         const SPARE: Span = Span::millis(200);
         // Another look comes before the end, for answers that are still being written.
@@ -51,7 +51,7 @@
         log::info!("told to end, with {} connections", self.hands.circuits.len());
     }
 
-    /// Called with each beat: ends when no more circuits come, all that came are answered, and none stands.
+    /// Called with each tick: ends when no more circuits come, all that came are answered, and none stands.
     pub fn end_when_done(&mut self) {
         // Clients go on coming for a little while after the signal.
         const QUIET_FOR: Span = Span::millis(500);
@@ -59,8 +59,8 @@
         let now = self.now();
         let Some(past) = self.told_to_end.map(|told| now.since(told)) else { return };
         if past >= stay_for {
-            let beats_left = open_for.as_ms() - past.as_ms();
-            self.chooser.ends((beats_left / BEAT.as_millis() as f64) as usize, &mut self.hands);
+            let ticks_left = open_for.as_ms() - past.as_ms();
+            self.chooser.ends((ticks_left / TICK.as_millis() as f64) as usize, &mut self.hands);
             self.settle();
         }
         let circuits: Vec<Rc<Circuit>> = self.hands.circuits.values().cloned().collect();
--- a/crates/proxy/src/hands.rs
+++ b/crates/proxy/src/hands.rs
@@ -33,7 +33,7 @@
     pub circuits: BTreeMap<CircuitId, Rc<Circuit>>,
     /// The ids that these came with.
     pub open_ids: BTreeSet<u64>,
-    /// Those that are looked after with each beat, and those whose client waits for something to come back.
+    /// Those that are looked after with each tick, and those whose client waits for something to come back.
     pub due: Due,
     pub unanswered: Due,
     /// Clients that have had their last line.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -32,7 +32,7 @@
 use std::time::Duration;
 
 /// How often what no event comes for is looked after.
-pub const BEAT: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(100);
 
 pub struct Proxy {
     pub chooser: Choosers,
@@ -103,11 +103,11 @@
         _ => proxy.told_to_end(),
     });
     signals.map_err(|fault| fault.error)?;
-    let beat = handle.insert_source(Timer::from_duration(BEAT), |_, _, proxy| {
-        proxy.beat();
-        TimeoutAction::ToDuration(BEAT)
+    let tick = handle.insert_source(Timer::from_duration(TICK), |_, _, proxy| {
+        proxy.tick();
+        TimeoutAction::ToDuration(TICK)
     });
-    beat.map_err(|fault| fault.error)?;
+    tick.map_err(|fault| fault.error)?;
 
     // Where the list is pushed, all of it is asked for at the start, so that the answer comes at once.
     let pushed = start.terms.list_is_pushed;
@@ -283,10 +283,10 @@
         }
     }
 
-    fn beat(&mut self) {
+    fn tick(&mut self) {
         for circuit in self.hands.due.look(Circuit::is_due) {
             self.hands.tally.count("circuits looked after");
-            circuit.beat(self);
+            circuit.tick(self);
         }
         self.sweep_callers();
         self.hands.lingering.sweep(self.now());
