--- a/crates/proxy/tests/sockets/ending.rs
+++ b/crates/proxy/tests/sockets/ending.rs
@@ -4,6 +4,7 @@
 
 use crate::stand::{list, next_call, Place, Program, Terms, PUSHED, USUAL};
 use rustix::process::Signal;
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// Clients of another customer wait for 1.2 s at most, so that killing comes 1.9 s after the signal.
@@ -63,6 +64,40 @@
     assert!(told.elapsed() < Duration::from_millis(3700));
 }
 
+/// It had no room for `MOVE`, as the client did not read: the client was cut off in the middle of a line.
+#[test]
+fn who_reads_nothing_for_a_while_finds_whole_lines_and_a_move() {
+    let server = Place::new("s1");
+    let program = Program::start(USUAL, &[&server]);
+    let (mut deaf, at_server) = program.settles(&server);
+    at_server.stream.set_nonblocking(true).unwrap();
+    let line = format!("NEWS {}\r\n", "x".repeat(90));
+    // Until nothing has been taken for a moment.
+    let mut stuck = 0;
+    while stuck < 50 {
+        match (&at_server.stream).write(line.repeat(10).as_bytes()) {
+            Ok(_) => stuck = 0,
+            Err(_) => {
+                stuck += 1;
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+    program.terminate();
+    // What stands is moved from 1.9 s on, and is waited for to end a line for 0.8 s.
+    std::thread::sleep(Duration::from_millis(3000));
+    let mut last = String::new();
+    loop {
+        match deaf.line() {
+            heard if heard.is_empty() || heard == "reset" => break,
+            heard => last = heard,
+        }
+    }
+    assert_eq!(last, "MOVE");
+    drop((deaf, at_server));
+    assert_eq!(program.exit().0, Some(0));
+}
+
 /// It stood still while its time ran out: who had come meanwhile was closed on without a word.
 #[test]
 fn who_is_in_the_queue_when_time_has_run_out_is_told_to_come_again() {
