MOVE has room of its own, and half a line that has not gone out is dropped for it

Cause: try_moving pushed into a ring that a client which does not read had filled, behind a line that was not whole; after 0.8 s the client was cut off inside that line.

--- a/crates/proxy/src/circuit.rs
+++ b/crates/proxy/src/circuit.rs
@@ -17,6 +17,9 @@
 /// How long the server of what was open before the start is tried and waited for: a run begins no later.
 pub const TAKE_OVER_WITHIN: Span = Span::millis(40_000);
 
+/// What tells a client to come again.
+const MOVE: &[u8] = b"MOVE\r\n";
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// The module is finding it a server.
@@ -62,7 +65,7 @@
             from_client: RefCell::default(),
             connect: RefCell::default(),
             up: RefCell::new(Ring::new(ring)),
-            down: RefCell::new(Ring::new(ring)),
+            down: RefCell::new(Ring::keeping(MOVE.len(), ring)),
             up_end: Cell::default(),
             down_end: Cell::default(),
             leaving_line: Cell::default(),
@@ -157,7 +160,7 @@
     /// Sends the client away as soon as the server's last line has ended; true once that is done.
     pub fn try_moving(&self, now: Point) -> bool {
         let between = self.connect.borrow().as_ref().is_some_and(|c| c.between_lines());
-        let moved = between && self.down.borrow_mut().push(b"MOVE\r\n");
+        let moved = between && self.down.borrow_mut().push(MOVE);
         if moved {
             self.leaving_line.set(None);
             self.down_end.set(Some(End::Fin));
@@ -168,6 +171,18 @@
         moved
     }
 
+    /// Its server has not ended in time the line that it began, or the client does not read what comes before. What has not
+    /// gone out of that line is dropped; where its beginning has, the connection ends inside it.
+    fn move_without_the_line(&self, proxy: &mut Proxy) {
+        if self.down.borrow_mut().cut_unfinished_line() {
+            self.connect.borrow().iter().for_each(|connect| connect.forget_line());
+            return proxy.move_now(self);
+        }
+        proxy.hands.tally.count("moved inside a line");
+        self.server_ended(End::Fin, Ending::CalledOff, proxy);
+        self.flush();
+    }
+
     /// Forgets the circuit once both sides have ended.
     pub fn wind_up(&self, proxy: &mut Proxy) {
         let server_over = || self.connect.borrow().as_ref().is_none_or(|c| c.socket.is_over());
@@ -208,9 +223,7 @@
             }
             Stage::Leaving if past > LAST_BYTES_WITHIN => self.close(&mut proxy.hands),
             Stage::Standing if self.leaving_line.get().is_some_and(|at| now.since(at) > LINE_ENDS_WITHIN) => {
-                proxy.hands.tally.count("moved inside a line");
-                self.server_ended(End::Fin, Ending::CalledOff, proxy);
-                self.flush();
+                self.move_without_the_line(proxy);
             }
             _ => {}
         }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -92,6 +92,11 @@
         self.lines.borrow().between_lines()
     }
 
+    /// What it began of a line is not passed on.
+    pub fn forget_line(&self) {
+        *self.lines.borrow_mut() = Cutter::default();
+    }
+
     /// Guards against a stale alarm too: the new one takes the old one's place, and goes with the connect.
     fn give_up_in(self: &Rc<Self>, wait: Span, circuit: &Circuit, handle: &LoopHandle<'static, Proxy>) {
         self.stop_timer();
@@ -217,7 +222,7 @@
             let after = down.latest(read).iter().rev().take_while(|b| **b != b'\n').count();
             if after < read {
                 down.cut(after);
-                *connect.lines.borrow_mut() = Cutter::default();
+                connect.forget_line();
                 drop(down);
                 return proxy.move_now(self);
             }
