--- a/crates/proxy/tests/unit/start_times.rs
+++ b/crates/proxy/tests/unit/start_times.rs
@@ -66,6 +66,17 @@
     starts.discovery_says(unix(1_000), at(3_601_000.0));
     assert_eq!(start(&mut starts, "s2", 500.0, 3_601_000.0), Some(3_600_500.0));
     assert_eq!(start(&mut starts, "s3", 2000.0, 3_601_000.0), Some(3_601_000.0));
+    assert_eq!(
+        start(&mut starts, "s1", 4000.0, 3_601_000.0),
+        Some(10_000.0),
+        "also of what was known before"
+    );
+    starts.discovery_says(unix(1_900), at(3_601_000.0));
+    assert_eq!(
+        start(&mut starts, "s2", 500.0, 3_602_000.0),
+        Some(3_600_500.0),
+        "seconds that pass change nothing"
+    );
     starts.discovery_says(unix(7_200_000), at(10_000.0));
     assert_eq!(start(&mut starts, "s4", 4000.0, 10_000.0), Some(4000.0));
 }
