--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -11,11 +11,13 @@
 /// How late the list may be: what discovery has counts as told after this long.
 const LIST_IS_LATE: Span = Span::millis(6000);
 
-/// A start as the list tells it, and when that was on this clock.
+/// A start as the list tells it.
 #[derive(Clone, Copy)]
 struct Start {
     told: Point,
-    here: Point,
+    heard_at: Point,
+    /// When it was on this clock, where this process has seen it happen.
+    seen: Option<Point>,
 }
 
 /// The starts that were told so far.
@@ -37,10 +39,13 @@
     /// as yet to come.
     pub fn discovery_says(&mut self, time: SystemTime, now: Point) {
         // The time is told in whole seconds, and its answer takes a moment.
-        const HARMLESS: Span = Span::millis(2000);
+        const HARMLESS_MS: f64 = 2000.0;
         let theirs = time.duration_since(UNIX_EPOCH).unwrap_or_default();
         let ahead = now.since(Point::from_ms(theirs.as_secs_f64() * 1000.0));
-        self.ahead = if ahead > HARMLESS { ahead } else { Span::default() };
+        // Guards against starts that seem to come later with each answer.
+        if (ahead.as_ms() - self.ahead.as_ms()).abs() > HARMLESS_MS {
+            self.ahead = ahead;
+        }
     }
 
     /// Lines of the list with their starts on this clock. Guards against a wall clock that is off: a start that is new
@@ -58,14 +63,14 @@
         if line.standing == Standing::Gone {
             return Some(told);
         }
-        let known = self.starts.get(&line.server).filter(|start| start.told == told);
-        let here = match known {
-            Some(start) => start.here,
-            None if self.heard => self.just_happened(told, now),
-            None => (told + self.ahead).min(now),
-        };
-        self.starts.insert(line.server.clone(), Start { told, here });
-        Some(here)
+        let known = self.starts.get(&line.server).copied().filter(|start| start.told == told);
+        let start = known.unwrap_or_else(|| {
+            let seen = self.heard.then(|| self.just_happened(told, now));
+            let start = Start { told, heard_at: now, seen };
+            self.starts.insert(line.server.clone(), start);
+            start
+        });
+        Some(start.seen.unwrap_or((told + self.ahead).min(start.heard_at)))
     }
 
     /// When a start was that this process has seen happen: as long ago as the list is later than at its best. The first
