--- a/crates/proxy/tests/sockets/clocks.rs
+++ b/crates/proxy/tests/sockets/clocks.rs
@@ -1,7 +1,8 @@
 //! Stories of a machine whose wall clock is off by an hour, or is stepped: starts of servers are told by Unix time.
 
 use crate::plan::Plan;
-use crate::stand::{list, next_call, Place, Terms, USUAL};
+use crate::settings::start_file;
+use crate::stand::{list, next_call, Place, Program, Terms, USUAL};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -56,6 +57,8 @@
     Later,
     /// It is there with the first answer, which tells discovery's time.
     AtFirst,
+    /// The start-up file knows it; the first answer tells discovery's time, and no line.
+    Before,
 }
 
 /// Of a hundred clients, how many a server gets in the 1.2 s after it has started, beside two that are warm, and how many
@@ -64,17 +67,25 @@
     let plan = Plan::new();
     let (first, second, cold) = (Place::new("s1"), Place::new("s2"), Place::new("s3"));
     plan.step_wall_clock(ahead_ms);
-    let program = plan.start(COLD, &[&first, &second]);
+    let discovery = Arc::new(Place::new("discovery"));
+    let mut text = start_file(&COLD, discovery.address, &[&first, &second]);
+    if told == Told::Before {
+        text = text.replace(r#""hosts":["#, &format!(r#""hosts":[{},"#, started_now(&cold)));
+    }
+    let program = Program::begin(plan.command(), discovery, text);
     let (mut watch, _) = program.discovery.called();
     let mut entries = vec![first.entry("in_service"), second.entry("in_service")];
     if told == Told::Later {
         watch.say(&list(8, true, &entries));
         next_call(&mut watch);
     }
-    entries.push(started_now(&cold));
+    match told {
+        Told::Before => entries.clear(),
+        Told::Later | Told::AtFirst => entries.push(started_now(&cold)),
+    }
     let date = httpdate::fmt_http_date(SystemTime::now());
     let dated = format!("HTTP/1.1 200 OK\r\nDate: {date}\r\n");
-    watch.say(&list(9, true, &entries).replace("HTTP/1.1 200 OK\r\n", &dated));
+    watch.say(&list(9, told != Told::Before, &entries).replace("HTTP/1.1 200 OK\r\n", &dated));
     next_call(&mut watch);
     let _warm = [serves_all(first), serves_all(second)];
     let served = serves_all(cold);
@@ -115,4 +126,5 @@
 #[test]
 fn a_start_before_the_process_is_timed_by_discoverys_own_time_where_that_is_told() {
     is_warmed_up_gently([0, HOUR_MS, -HOUR_MS], Told::AtFirst);
+    is_warmed_up_gently([0, HOUR_MS, -HOUR_MS], Told::Before);
 }
