What was known before is timed anew once discovery has told its time

Cause: only the lines of an answer were timed by discovery's Date; those of the start-up file kept their start.

--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -345,7 +345,10 @@
         if let Some(taken) = self.list_for_fellows(listing) {
             return taken;
         }
-        listing.told_at.iter().for_each(|time| self.start_times.discovery_says(*time, now));
+        if listing.told_at.is_some_and(|time| self.start_times.discovery_says(time, now)) {
+            let known = self.start_times.timed_anew(self.chooser.list());
+            self.chooser.listed(&known, false, now);
+        }
         let lines = self.start_times.timed(listing.lines(), now);
         self.start_times.list_is_heard();
         self.hands.follow(lines.iter().zip(listing.entries.iter().map(|entry| entry.dial)), listing.whole);
--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -36,16 +36,28 @@
 impl StartTimes {
     /// Discovery has told its time with a list. Guards against a wall clock that was ahead when this process started:
     /// what had just started then would count as warm. A clock that was behind needs no such word, as no start counts
-    /// as yet to come.
-    pub fn discovery_says(&mut self, time: SystemTime, now: Point) {
+    /// as yet to come. True where starts that were told before are others now.
+    pub fn discovery_says(&mut self, time: SystemTime, now: Point) -> bool {
         // The time is told in whole seconds, and its answer takes a moment.
         const HARMLESS_MS: f64 = 2000.0;
         let theirs = time.duration_since(UNIX_EPOCH).unwrap_or_default();
         let ahead = now.since(Point::from_ms(theirs.as_secs_f64() * 1000.0));
         // Guards against starts that seem to come later with each answer.
-        if (ahead.as_ms() - self.ahead.as_ms()).abs() > HARMLESS_MS {
+        let differs = (ahead.as_ms() - self.ahead.as_ms()).abs() > HARMLESS_MS;
+        if differs {
             self.ahead = ahead;
         }
+        differs
+    }
+
+    /// Lines that were timed before, with their starts as they are now.
+    pub fn timed_anew(&self, lines: Vec<Listed>) -> Vec<Listed> {
+        let start_of = |line: &Listed| self.starts.get(&line.server).map(|start| self.here(start));
+        lines.into_iter().map(|line| Listed { started: start_of(&line).or(line.started), ..line }).collect()
+    }
+
+    fn here(&self, start: &Start) -> Point {
+        start.seen.unwrap_or((start.told + self.ahead).min(start.heard_at))
     }
 
     /// Lines of the list with their starts on this clock. Guards against a wall clock that is off: a start that is new
@@ -70,7 +82,7 @@
             self.starts.insert(line.server.clone(), start);
             start
         });
-        Some(start.seen.unwrap_or((told + self.ahead).min(start.heard_at)))
+        Some(self.here(&start))
     }
 
     /// When a start was that this process has seen happen: as long ago as the list is later than at its best. The first
