Health checks: read one response line and close on anything more

What callers saw: while one server answered PING with PONG lines without end, both processes went silent: 107 of 181 requests had no answer in time, established sessions stood still, PING was not answered.

Cause: HealthCheck::on_ready read `while let Some(lines)` for as long as anything was available, and went on after the check had its response. A server that sends faster than it is read keeps the only thread there.

Evidence: strace of both hung processes for two seconds shows 74,390 and 69,008 recvfrom of 256 bytes on one connection and no other call, so no epoll_wait: the loop does not turn. Six of six stacks end in on_ready, called once from the event loop. That rules out an event loop that is starved over many turns, and work in the load balancer for each line.

Why this works: a check's response is one line of limited length, and read_response reads no further. If anything more has come, the connection is closed and counted, so neither this event nor the next ones read it. A surplus PONG can also no longer be taken for the response to the next check, with a latency near zero.

Both new tests failed on the text before (no PONG within one second; the connection stayed open) and pass now.

--- a/crates/proxy/src/upstream/health_check.rs
+++ b/crates/proxy/src/upstream/health_check.rs
@@ -1,5 +1,6 @@
 //! Health checks of a server, over a separate connection with at most one outstanding `PING`.
 
+use crate::metrics::Metrics;
 use crate::net::event_loop::EventLoopOwner;
 use crate::net::line::{line_text, LineDecoder, LineTooLong, ServerLine, PING_LINE};
 use crate::net::ring_buffer::RingBuffer;
@@ -27,6 +28,8 @@
     fn on_health_check(&mut self, server: &Server<Self>, latency: Duration);
     /// Whether connections are kept open between checks.
     fn keeps_health_check_connections(&self) -> bool;
+    /// Counters and rate-limited warnings.
+    fn metrics(&self) -> &Metrics;
 }
 
 /// The health check connection to one server.
@@ -56,9 +59,8 @@
             server.health_check.take();
             owner.on_health_check(server, now.since(started));
         }
-        let is_reusable =
-            |check: &Rc<Self>| outstanding_since.is_none() && check.socket.peer_end.get().is_none();
-        let reusable = existing.filter(is_reusable);
+        let reusable =
+            existing.filter(|check| outstanding_since.is_none() && check.is_reusable(server, owner));
         let Some(check) = reusable.or_else(|| Self::open(server, owner)) else { return };
         check.started_at.set(Some(now));
         check.last_used.set(now);
@@ -97,34 +99,60 @@
             return self.close(server);
         }
         self.flush();
-        while let Some(lines) = self.read_lines() {
-            let Ok(lines) = lines else { return self.close(server) };
-            lines.iter().for_each(|line| self.on_line(line, server, owner));
-        }
-        let is_done = !owner.keeps_health_check_connections() && self.started_at.get().is_none();
-        if is_done || self.socket.peer_end.get().is_some() {
+        let Ok(response) = self.read_response() else {
+            log::debug!("health check of {}: overlong line", server.id);
+            owner.metrics().count_and_warn("overlong lines");
+            return self.close(server);
+        };
+        let latency = response.and_then(|line| self.end_check(&line, owner.now()));
+        if !self.is_reusable(server, owner) {
             self.close(server);
         }
+        // Last, as the owner may start the next check.
+        if let Some(latency) = latency {
+            owner.on_health_check(server, latency);
+        }
     }
 
-    /// Reads once, and returns the complete lines; none if nothing is available.
-    fn read_lines(&self) -> Option<Result<Vec<Vec<u8>>, LineTooLong>> {
+    /// Reads until the response to the outstanding check is complete, or nothing more is available. As the length of a
+    /// line is limited, the number of reads is bounded even if the server never stops sending.
+    fn read_response(&self) -> Result<Option<Vec<u8>>, LineTooLong> {
         let mut incoming = self.incoming.borrow_mut();
-        let read = self.socket.read(&mut incoming);
-        if read == 0 {
-            return None;
+        while self.started_at.get().is_some() {
+            let read = self.socket.read(&mut incoming);
+            if read == 0 {
+                break;
+            }
+            let bytes = incoming.latest(read);
+            let line_end = bytes.iter().position(|byte| *byte == b'\n').map_or(read, |end| end + 1);
+            let line = self.decoder.borrow_mut().feed(&bytes[..line_end])?.pop();
+            incoming.skip(line_end);
+            if line.is_some() {
+                return Ok(line);
+            }
         }
-        let lines = self.decoder.borrow_mut().feed(incoming.latest(read));
-        incoming.clear();
-        Some(lines)
+        Ok(None)
+    }
+
+    /// Ends the outstanding check, which any line does. Returns its latency if the line is a proper response.
+    fn end_check(&self, line: &[u8], now: Timestamp) -> Option<Duration> {
+        let started_at = self.started_at.take()?;
+        (ServerLine::parse(line_text(line)) == ServerLine::Healthy).then(|| now.since(started_at))
     }
 
-    /// Handles a line from the server. Any line ends the check, but only a proper response gives a meaningful latency.
-    fn on_line(&self, line: &[u8], server: &Server<T>, owner: &mut T) {
-        let started_at = self.started_at.take();
-        if let (Some(started), ServerLine::Healthy) = (started_at, ServerLine::parse(line_text(line))) {
-            owner.on_health_check(server, owner.now().since(started));
+    /// Whether the connection can be used for the outstanding check or, if there is none, for the next one. A server
+    /// that sends more than one line for each check has violated the protocol: the rest would be taken for the
+    /// response to the next check.
+    fn is_reusable(&self, server: &Server<T>, owner: &T) -> bool {
+        if self.started_at.get().is_some() {
+            return self.socket.peer_end.get().is_none();
+        }
+        let is_idle = self.incoming.borrow().is_empty() && self.socket.is_idle();
+        if !is_idle && self.socket.peer_end.get().is_none() {
+            log::debug!("health check of {}: unsolicited data", server.id);
+            owner.metrics().count_and_warn("unsolicited health check data");
         }
+        is_idle && owner.keeps_health_check_connections()
     }
 
     fn close(&self, server: &Server<T>) {
--- a/crates/proxy/src/upstream/owner_impls.rs
+++ b/crates/proxy/src/upstream/owner_impls.rs
@@ -1,5 +1,6 @@
 //! Implements the owner trait of this module for [`Proxy`].
 
+use crate::metrics::Metrics;
 use crate::proxy::Proxy;
 use crate::session::Session;
 use crate::upstream::health_check::HealthCheckOwner;
@@ -23,4 +24,8 @@
     fn keeps_health_check_connections(&self) -> bool {
         !self.executor.servers_report_latency
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.executor.metrics
+    }
 }
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod descriptor_limits;
 mod discovery_polls;
 mod discovery_watches;
+mod endless_responses;
 mod endpoint_staleness;
 mod error_messages;
 mod failure_injection;
