Discovery: bound what one event reads of a response

What callers saw: nothing in service; found by following the cause of the health check's hang.

Cause: Discovery::read read for as long as anything was available; the limit of 4 MiB on a response was checked only after that, and what came with no call in flight was dropped without limit.

Why this works: read_response reads at most 1 MiB for one event and goes on after the others, so the limit on a response is reached and ends the call. Unrequested data ends the connection. 1 MiB is more than a list of 3,200 servers, so a list that has arrived is still applied before a session is placed.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -21,6 +21,8 @@
 const REQUEST_BUFFER_SIZE: usize = 512;
 /// Size in bytes of the buffer that responses are read into.
 const RESPONSE_BUFFER_SIZE: usize = 16 << 10;
+/// Reads per event, so that a response without end does not starve the sessions: enough for any endpoint list.
+const MAX_READS_PER_EVENT: usize = 64;
 
 /// Client of one discovery service. The outcome of each call is reported to `E`.
 pub struct Discovery<E: DiscoveryEvents> {
@@ -35,6 +37,8 @@
     /// When the last call started.
     call_started_at: Cell<Timestamp>,
     timer: Cell<Option<RegistrationToken>>,
+    /// Whether a timer is set that goes on reading the response.
+    read_is_scheduled: Cell<bool>,
     /// Whether the last call returned an endpoint list.
     last_call_succeeded: Cell<bool>,
     schedule: PollSchedule,
@@ -52,6 +56,7 @@
             exchange: RefCell::default(),
             call_started_at: Cell::default(),
             timer: Cell::default(),
+            read_is_scheduled: Cell::default(),
             last_call_succeeded: Cell::default(),
             schedule: PollSchedule::new(timeouts, seed),
         })
@@ -173,26 +178,54 @@
             Ok(true) => {}
         }
         self.flush();
-        self.read(&socket);
-        let has_ended = socket.peer_end.get().is_some();
-        let parsed = self.exchange.borrow_mut().as_mut().map(|exchange| exchange.response(has_ended));
-        match parsed {
-            // Discovery may close an idle connection; the next call opens a new one.
-            None if has_ended => drop(self.socket.take()),
-            None | Some(Ok(None)) => {}
+        match self.read_response(&socket, events) {
             Some(Ok(Some(response))) => self.on_response(&response, events),
+            Some(Ok(None)) => {}
             Some(Err(source)) => self.on_call_failed(&CallError::Http { at, source }, events),
+            // Discovery has closed the idle connection, or has sent what no call has requested. The next call opens a
+            // new connection.
+            None if !socket.is_idle() => drop(self.socket.take()),
+            None => {}
         }
     }
 
-    fn read(&self, socket: &Socket<E>) {
+    /// Reads and parses what is available of the response to the call in flight; none if there is no such call. What
+    /// exceeds the limit per event is read after the other events.
+    fn read_response(
+        self: &Rc<Self>,
+        socket: &Socket<E>,
+        events: &E,
+    ) -> Option<Result<Option<Response>, HttpError>> {
         let mut exchange = self.exchange.borrow_mut();
-        let mut response = self.response.borrow_mut();
-        while socket.read(&mut response) > 0 {
-            // Bytes received while no request is in flight belong to no response and are dropped.
-            let _ = exchange.as_mut().map(|exchange| response.drain_to(exchange.input()));
-            response.clear();
+        let exchange = exchange.as_mut()?;
+        let mut buffer = self.response.borrow_mut();
+        let mut has_more = true;
+        for _ in 0..MAX_READS_PER_EVENT {
+            has_more = socket.read(&mut buffer) > 0;
+            if !has_more {
+                break;
+            }
+            // Writing to a vector does not fail.
+            let _ = buffer.drain_to(exchange.input());
+        }
+        if has_more {
+            self.reschedule(events);
+        }
+        Some(exchange.response(socket.peer_end.get().is_some()))
+    }
+
+    /// Schedules another call of [`Self::on_socket_ready`] after the other events of the event loop.
+    fn reschedule(self: &Rc<Self>, events: &E) {
+        if self.read_is_scheduled.replace(true) {
+            return;
         }
+        let client = self.clone();
+        let timer = events.handle().insert_source(Timer::immediate(), move |_, _, events| {
+            client.read_is_scheduled.set(false);
+            client.on_socket_ready(events);
+            TimeoutAction::Drop
+        });
+        self.read_is_scheduled.set(timer.is_ok());
     }
 
     fn on_response(self: &Rc<Self>, response: &Response, events: &mut E) {
--- a/crates/proxy/tests/sockets/endless_responses.rs
+++ b/crates/proxy/tests/sockets/endless_responses.rs
@@ -1,6 +1,6 @@
-//! Servers that never stop sending: nobody else waits for them, and their connections are closed.
+//! Servers and discovery services that never stop sending: nobody else waits for them, and their connections are closed.
 
-use crate::harness::{Connection, FakeServer, ProxyProcess, Settings, DEFAULT, TEST_TIMEOUT};
+use crate::harness::{list_response, Connection, FakeServer, ProxyProcess, Settings, DEFAULT, TEST_TIMEOUT};
 use std::io::Write;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -10,8 +10,9 @@
 /// Number of bytes that an endless sender writes at once.
 const BLOCK_BYTES: usize = 256 << 10;
 
-/// Sends `repeated` again and again as fast as the proxy reads it, until the proxy closes the connection.
-fn send_endlessly(mut connection: Connection, repeated: &'static str) -> JoinHandle<()> {
+/// Sends `start`, then `repeated` again and again as fast as the proxy reads it, until the proxy closes the connection.
+fn send_endlessly(mut connection: Connection, start: &str, repeated: &'static str) -> JoinHandle<()> {
+    connection.send(start);
     std::thread::spawn(move || {
         let block = repeated.repeat(BLOCK_BYTES / repeated.len());
         while connection.stream.write_all(block.as_bytes()).is_ok() {}
@@ -92,7 +93,7 @@
 fn an_endless_health_check_response_delays_no_other_connection() {
     let (mut server, proxy, mut sessions) = SortingServer::with_health_checks();
     for response in ["PONG\r\n", "ERR\r\n", "\n", "PONG"] {
-        let sender = send_endlessly(server.accept("PING"), response);
+        let sender = send_endlessly(server.accept("PING"), "", response);
         stays_responsive_until_closed(&proxy, &mut sessions[0], &sender);
     }
     let log = proxy.shut_down();
@@ -111,3 +112,26 @@
     server.accept("PING");
     assert!(proxy.shut_down().contains("unsolicited health check data 2"));
 }
+
+/// Guards against a proxy that hangs for as long as discovery goes on answering a call.
+#[test]
+fn an_endless_discovery_response_delays_no_other_connection() {
+    let server = FakeServer::new("s1");
+    let proxy = ProxyProcess::start(DEFAULT, &[&server]);
+    let mut session = proxy.establish(&server);
+    let list = list_response(8, false, &[server.endpoint("in_service")]);
+    let responses = [
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\n    \r\n"),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", " "),
+        ("HTTP/1.1 200 OK\r\n\r\n", " "),
+        ("HTTP/1.1 200 OK\r\nServer: ", "x"),
+        (&list, "\r\n"),
+    ];
+    for (start, repeated) in responses {
+        let (call, _) = proxy.discovery.next_poll();
+        let sender = send_endlessly(call, start, repeated);
+        stays_responsive_until_closed(&proxy, &mut session, &sender);
+    }
+    proxy.discovery.next_poll();
+    proxy.shut_down();
+}
