--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -6,6 +6,7 @@
 use crate::discovery::endpoint_list::EndpointList;
 use crate::discovery::events::DiscoveryEvents;
 use crate::discovery::poll_schedule::{CallTimeouts, PollRequest, PollSchedule};
+use crate::net::event_loop::call_after_other_events;
 use crate::net::http::{Exchange, HttpError, Response};
 use crate::net::ring_buffer::RingBuffer;
 use crate::net::socket::Socket;
@@ -199,16 +200,14 @@
         let mut exchange = self.exchange.borrow_mut();
         let exchange = exchange.as_mut()?;
         let mut buffer = self.response.borrow_mut();
-        let mut has_more = true;
-        for _ in 0..MAX_READS_PER_EVENT {
-            has_more = socket.read(&mut buffer) > 0;
-            if !has_more {
-                break;
-            }
+        let mut read_once = || {
+            let read = socket.read(&mut buffer);
             // Writing to a vector does not fail.
             let _ = buffer.drain_to(exchange.input());
-        }
-        if has_more {
+            read
+        };
+        let reads = (0..MAX_READS_PER_EVENT).take_while(|_| read_once() > 0).count();
+        if reads == MAX_READS_PER_EVENT {
             self.reschedule(events);
         }
         Some(exchange.response(socket.peer_end.get().is_some()))
@@ -220,12 +219,11 @@
             return;
         }
         let client = self.clone();
-        let timer = events.handle().insert_source(Timer::immediate(), move |_, _, events| {
+        let is_scheduled = call_after_other_events(&events.handle(), move |events| {
             client.read_is_scheduled.set(false);
             client.on_socket_ready(events);
-            TimeoutAction::Drop
         });
-        self.read_is_scheduled.set(timer.is_ok());
+        self.read_is_scheduled.set(is_scheduled);
     }
 
     fn on_response(self: &Rc<Self>, response: &Response, events: &mut E) {
--- a/crates/proxy/src/executor.rs
+++ b/crates/proxy/src/executor.rs
@@ -5,6 +5,7 @@
 use crate::downstream::lingering::LingeringCloses;
 use crate::metrics::Metrics;
 use crate::net::clock::Clock;
+use crate::net::event_loop::call_after_other_events;
 use crate::net::line::ProxyResponse;
 use crate::net::socket::Socket;
 use crate::pending_sessions::PendingSessions;
@@ -151,11 +152,10 @@
     /// Schedules another call of [`Session::on_ready`] after the other events of the event loop.
     pub fn reschedule(&self, session: &Session) {
         let weak = session.weak_self.clone();
-        let timer = self.handle.insert_source(Timer::immediate(), move |_, _, proxy| {
+        let is_scheduled = call_after_other_events(&self.handle, move |proxy| {
             weak.upgrade().inspect(|session| session.on_ready(proxy));
-            TimeoutAction::Drop
         });
-        self.metrics.check_invariant(timer.is_ok(), "a timer can be set");
+        self.metrics.check_invariant(is_scheduled, "a timer can be set");
     }
 
     /// Reconnects a session that was established before the start to its server, once that server is listed.
--- a/crates/proxy/src/upstream/health_check.rs
+++ b/crates/proxy/src/upstream/health_check.rs
@@ -60,7 +60,7 @@
             owner.on_health_check(server, now.since(started));
         }
         let reusable =
-            existing.filter(|check| outstanding_since.is_none() && check.is_reusable(server, owner));
+            existing.filter(|check| outstanding_since.is_none() && check.check_reusable(server, owner));
         let Some(check) = reusable.or_else(|| Self::open(server, owner)) else { return };
         check.started_at.set(Some(now));
         check.last_used.set(now);
@@ -105,7 +105,7 @@
             return self.close(server);
         };
         let latency = response.and_then(|line| self.end_check(&line, owner.now()));
-        if !self.is_reusable(server, owner) {
+        if !self.check_reusable(server, owner) {
             self.close(server);
         }
         // Last, as the owner may start the next check.
@@ -140,10 +140,10 @@
         (ServerLine::parse(line_text(line)) == ServerLine::Healthy).then(|| now.since(started_at))
     }
 
-    /// Whether the connection can be used for the outstanding check or, if there is none, for the next one. A server
-    /// that sends more than one line for each check has violated the protocol: the rest would be taken for the
-    /// response to the next check.
-    fn is_reusable(&self, server: &Server<T>, owner: &T) -> bool {
+    /// Checks whether the connection can be used for the outstanding check or, if there is none, for the next one. It
+    /// cannot if the server has sent more than the response, which is counted as a protocol error: the rest would be
+    /// taken for the response to the next check.
+    fn check_reusable(&self, server: &Server<T>, owner: &T) -> bool {
         if self.started_at.get().is_some() {
             return self.socket.peer_end.get().is_none();
         }
--- a/crates/proxy/tests/sockets/client_abort_races.rs
+++ b/crates/proxy/tests/sockets/client_abort_races.rs
@@ -3,8 +3,8 @@
 //! either order, and the proxy finds them together when it resumes.
 
 use crate::harness::{
-    list_response, wait_for, Connection, FakeServer, ProxyProcess, Settings, DEFAULT, PUSHED_LIST,
-    TEST_TIMEOUT,
+    accept_health_checks, list_response, wait_for, Connection, FakeServer, ProxyProcess, Settings,
+    CHECKS_HEALTH_FIRST, DEFAULT, PUSHED_LIST, TEST_TIMEOUT,
 };
 use std::time::Duration;
 
@@ -180,17 +180,9 @@
 fn no_request_for_a_client_that_disconnects_as_health_checks_are_answered() {
     for client_first in [true, false] {
         let servers = ["s1", "s2", "s3"].map(FakeServer::new);
-        let settings = Settings {
-            health_checks_allowed: true,
-            servers_report_latency: true,
-            message_latency_objective_ms: 5000,
-            customer_quota: "1",
-            ..DEFAULT
-        };
-        let proxy = ProxyProcess::start(settings, &servers.each_ref());
+        let proxy = ProxyProcess::start(CHECKS_HEALTH_FIRST, &servers.each_ref());
         let client = proxy.open_session("lift-1", ",d=20000,g=bank");
-        let mut checks = servers.each_ref().map(FakeServer::accept);
-        checks.iter_mut().for_each(|check| assert_eq!(check.read_line(), "PING"));
+        let mut checks = accept_health_checks(&servers);
         proxy.suspend();
         let mut client = Some(client);
         if client_first {
@@ -216,18 +208,10 @@
 fn a_health_check_response_from_a_draining_server_gets_it_no_session() {
     for update_first in [true, false] {
         let servers = ["s1", "s2", "s3"].map(FakeServer::new);
-        let settings = Settings {
-            health_checks_allowed: true,
-            servers_report_latency: true,
-            message_latency_objective_ms: 5000,
-            customer_quota: "1",
-            ..DEFAULT
-        };
-        let proxy = ProxyProcess::start(settings, &servers.each_ref());
+        let proxy = ProxyProcess::start(CHECKS_HEALTH_FIRST, &servers.each_ref());
         let (mut watch, _) = proxy.discovery.next_poll();
         let mut client = proxy.open_session("lift-1", ",d=20000,g=bank");
-        let mut checks = servers.each_ref().map(FakeServer::accept);
-        checks.iter_mut().for_each(|check| assert_eq!(check.read_line(), "PING"));
+        let mut checks = accept_health_checks(&servers);
         proxy.suspend();
         let update = list_response(8, false, &[servers[1].endpoint("terminating")]);
         if update_first {
--- a/crates/proxy/tests/sockets/client_aborts.rs
+++ b/crates/proxy/tests/sockets/client_aborts.rs
@@ -4,8 +4,8 @@
 
 use crate::client_abort_races::{accept_attempt, got_connection_without_request, wait_for_event_loop};
 use crate::harness::{
-    list_response, read_request, wait_for, Connection, FakeServer, ProxyProcess, Settings, DEFAULT,
-    PUSHED_LIST, TEST_TIMEOUT,
+    accept_health_checks, list_response, read_request, wait_for, Connection, FakeServer, ProxyProcess,
+    Settings, CHECKS_HEALTH_FIRST, DEFAULT, PUSHED_LIST, TEST_TIMEOUT,
 };
 use std::time::Duration;
 
@@ -83,22 +83,6 @@
     proxy.shut_down();
 }
 
-/// Settings with which the proxy sends health checks to servers before an attempt.
-const CHECKS_HEALTH_FIRST: Settings = Settings {
-    health_checks_allowed: true,
-    servers_report_latency: true,
-    message_latency_objective_ms: 5000,
-    customer_quota: "1",
-    ..DEFAULT
-};
-
-/// Accepts the health check of each server, without a response.
-fn accept_health_checks(servers: &[FakeServer; 3]) -> [Connection; 3] {
-    let mut checks = servers.each_ref().map(FakeServer::accept);
-    checks.iter_mut().for_each(|check| assert_eq!(check.read_line(), "PING"));
-    checks
-}
-
 /// The proxy finds the response to the health check and the client's disconnect in the same turn of its event loop.
 #[test]
 fn no_attempt_for_a_client_that_disconnected_before_its_health_check_response() {
--- a/crates/proxy/tests/sockets/harness.rs
+++ b/crates/proxy/tests/sockets/harness.rs
@@ -1,7 +1,7 @@
 //! The proxy process under test, with fake clients, servers and discovery services on the loopback interface.
 
 use crate::startup_file::startup_file_text;
-pub use crate::startup_file::{Settings, DEFAULT, PUSHED_LIST};
+pub use crate::startup_file::{Settings, CHECKS_HEALTH_FIRST, DEFAULT, PUSHED_LIST};
 use rustix::process::{Pid, Signal};
 use rustix::thread::{sched_getcpu, sched_setaffinity, CpuSet};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -165,6 +165,13 @@
     }
 }
 
+/// Accepts the health check of each server, without a response.
+pub fn accept_health_checks(servers: &[FakeServer; 3]) -> [Connection; 3] {
+    let mut checks = servers.each_ref().map(FakeServer::accept);
+    checks.iter_mut().for_each(|check| assert_eq!(check.read_line(), "PING"));
+    checks
+}
+
 /// Reads an HTTP request and returns its path; empty if the connection has ended.
 pub fn read_request(connection: &mut Connection) -> String {
     let path = connection.read_line().split(' ').nth(1).unwrap_or_default().to_owned();
--- a/crates/proxy/tests/sockets/session_migration.rs
+++ b/crates/proxy/tests/sockets/session_migration.rs
@@ -1,6 +1,8 @@
 //! Migration of sessions, and health checks of servers.
 
-use crate::harness::{FakeServer, ProxyProcess, Settings, DEFAULT};
+use crate::harness::{
+    accept_health_checks, FakeServer, ProxyProcess, Settings, CHECKS_HEALTH_FIRST, DEFAULT,
+};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -80,17 +82,9 @@
 #[test]
 fn the_first_server_to_respond_to_a_health_check_gets_the_session_and_the_checks_close() {
     let servers = ["s1", "s2", "s3"].map(FakeServer::new);
-    let settings = Settings {
-        health_checks_allowed: true,
-        servers_report_latency: true,
-        message_latency_objective_ms: 5000,
-        customer_quota: "1",
-        ..DEFAULT
-    };
-    let proxy = ProxyProcess::start(settings, &servers.each_ref());
+    let proxy = ProxyProcess::start(CHECKS_HEALTH_FIRST, &servers.each_ref());
     let mut client = proxy.open_session("lift-1", ",d=20000,g=bank");
-    let mut checks = servers.each_ref().map(FakeServer::accept);
-    checks.iter_mut().for_each(|check| assert_eq!(check.read_line(), "PING"));
+    let mut checks = accept_health_checks(&servers);
     assert!(
         servers.iter().all(|server| server.try_accept().is_none()),
         "no connection other than those of the health checks"
--- a/crates/proxy/tests/sockets/startup_file.rs
+++ b/crates/proxy/tests/sockets/startup_file.rs
@@ -60,6 +60,15 @@
 /// The endpoint list is pushed by an agent, which the proxy watches.
 pub const PUSHED_LIST: Settings = Settings { list_delivery: "automatic", ..DEFAULT };
 
+/// The proxy sends health checks to servers before an attempt, and none periodically.
+pub const CHECKS_HEALTH_FIRST: Settings = Settings {
+    health_checks_allowed: true,
+    servers_report_latency: true,
+    message_latency_objective_ms: 5000,
+    customer_quota: "1",
+    ..DEFAULT
+};
+
 /// The text of a start-up file with these settings and known servers.
 pub fn startup_file_text(settings: &Settings, discovery: SocketAddr, known: &[&FakeServer]) -> String {
     let entries: Vec<_> = known.iter().map(|server| server.endpoint("in_service")).collect();
