--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod common;
+mod wire;
 
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
     let code = match arguments.first().map(String::as_str) {
         Some("relay") => addresses::relay(&arguments[1..]),
         Some("addresses") => addresses::run(),
+        Some("wire") => wire::run(),
         _ => common::CANNOT_RUN,
     };
     std::process::exit(code);
