Review: case 6, a fleet member that hears nobody asks discovery after 20 s

24 proxies with a fleet file; the messages between one of them and the others are lost, and two of eight servers begin to drain. It first called discovery 21.5 and 23.5 s after the change and sent 4 and 6 requests to these servers later than the 13.05 s that the rule allows.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod addresses;
 mod common;
+mod severed;
 mod wire;
 
 use std::time::Duration;
@@ -19,6 +20,7 @@
     let code = match arguments.first().map(String::as_str) {
         Some("relay") => addresses::relay(&arguments[1..]),
         Some("addresses") => addresses::run(),
+        Some("severed") => severed::run(),
         Some("wire") => wire::run(),
         _ => common::CANNOT_RUN,
     };
