--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -233,14 +233,20 @@
     )
 }
 
-/// The settings of `oberpfalz-regensburg`.
-pub fn oberpfalz_settings(proxies: usize) -> String {
+/// The settings of `dar-telemetry`, as in the page on the wire.
+pub fn dar_settings(proxies: usize) -> String {
     format!(
         r#"{{"balancers":{proxies},"discovery":"subscribe","offerings":[{}],
-"bounds":{{"most_connects":5,"max_retry_after_ms":2000,"dial_timeout_ms":100,"probes":true,"peers":true,"parallel_tries":false}},
-"invariants":{{"cold_from":0.31,"cold_ms":9000,"dropped_stay_open":true,"grace_to_answer_ms":16,"must_ask_in_ms":10000,"overload_factor":3,"overload_for_ms":2000,"stop_sending_within_ms":3000}},
-"extra":{{"groups":true,"message_aim_ms":[150,100],"tells_delay":false,"tells_load":true,"server_connections":50}}}}"#,
-        classes(&[("freie-tische", 300, 1800, 1), ("ligatische", 800, 4800, 3)])
+"bounds":{{"most_connects":5,"max_retry_after_ms":2000,"dial_timeout_ms":250,"probes":true,"peers":false,"parallel_tries":false}},
+"invariants":{{"cold_from":0.3,"cold_ms":8600,"grace_to_answer_ms":16,"must_ask_in_ms":10000,"overload_factor":4,"overload_for_ms":1000,"stop_sending_within_ms":400}},
+"customers":[{{"name":"msasani-towers","share":0.31}},{{"name":"posta-house","share":0.32}},{{"name":"bandari-plaza","share":0.27}},{{"name":"upanga-flats","share":0.1}}],
+"extra":{{"groups":true,"message_aim_ms":[50,250,250,60],"mode":"pass","tells_delay":true,"tells_load":true,"tenant_quota_connections":[90,93,79,29]}}}}"#,
+        classes(&[
+            ("status", 800, 4800, 3),
+            ("alarm", 300, 1800, 3),
+            ("fault", 500, 3000, 5),
+            ("settings", 500, 3000, 3)
+        ])
     )
 }
 
@@ -311,18 +317,6 @@
         (discovery, addresses)
     }
 
-    /// Publishes a new state of one server under a new version.
-    pub fn publish(&self, host: &str, health: &'static str) {
-        let mut list = lock(&self.list);
-        list.seq += 1;
-        let seq = list.seq;
-        if let Some(listed) = list.hosts.get_mut(host) {
-            (listed.health, listed.changed_at) = (health, seq);
-        }
-        self.record.note(format!("discovery: version {seq}: {host} is {health}"));
-        self.changed.notify_all();
-    }
-
     /// The whole list as this view is told it, or the changes since a version.
     pub fn text(&self, view: usize, since: Option<u64>) -> String {
         let list = lock(&self.list);
@@ -382,22 +376,16 @@
     }
 }
 
-/// A request that reached a server.
-#[derive(Clone)]
-pub struct Reached {
-    /// When its first byte was there.
-    pub at_ms: u64,
-    pub id: String,
-}
-
-/// A server: accepts each request, answers each line at once; turns new ones away while it drains.
+/// A server: accepts each request and answers each line at once.
 pub struct Server {
     pub name: String,
     pub address: SocketAddr,
-    pub is_draining: AtomicBool,
-    pub reached: Mutex<Vec<Reached>>,
     /// The ids of the requests that it has answered with `UP`.
     pub held: Mutex<Vec<String>>,
+    /// When each line of a client was there, which is answered at once.
+    pub lines: Mutex<BTreeMap<String, u64>>,
+    /// While this is set, what it sends on its connections does not end.
+    pub is_endless: Arc<AtomicBool>,
     is_dead: AtomicBool,
     streams: Mutex<Vec<std::sync::Weak<TcpStream>>>,
     record: Arc<Record>,
@@ -418,9 +406,9 @@
         let server = Arc::new(Server {
             name: name.to_owned(),
             address,
-            is_draining: AtomicBool::new(false),
-            reached: Mutex::default(),
             held: Mutex::default(),
+            lines: Mutex::default(),
+            is_endless: Arc::default(),
             is_dead: AtomicBool::new(false),
             streams: Mutex::default(),
             record,
@@ -450,7 +438,7 @@
         if stream.read(&mut first).unwrap_or(0) == 0 {
             return;
         }
-        let at_ms = self.record.ms();
+        let connection = Arc::new(());
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(first.as_slice().chain(stream));
         let mut line = String::new();
@@ -464,28 +452,45 @@
                 continue;
             }
             if let Some(id) = text.strip_prefix("OPEN ").and_then(|rest| rest.split(' ').next()) {
-                lock(&self.reached).push(Reached { at_ms, id: id.to_owned() });
-                if self.is_draining.load(Ordering::SeqCst) {
-                    self.record.note(format!("{}: {text} -> BUSY", self.name));
-                    let _ = writer.write_all(b"BUSY\r\n");
-                    return;
-                }
                 self.record.note(format!("{}: {text} -> UP", self.name));
                 let _ = writer.write_all(format!("UP {id}\r\n").as_bytes());
                 lock(&self.held).push(id.to_owned());
+                if let Ok(endless) = writer.try_clone() {
+                    let is_endless = self.is_endless.clone();
+                    let connection = Arc::downgrade(&connection);
+                    thread::spawn(move || send_without_end(endless, &is_endless, &connection));
+                }
                 continue;
             }
+            if self.is_endless.load(Ordering::SeqCst) {
+                continue;
+            }
+            lock(&self.lines).insert(text.clone(), self.record.ms());
             let _ = writer.write_all(format!("ok {text}\r\n").as_bytes());
         }
     }
 }
 
+/// Sends the note that messages take 99 ms here, again and again, as fast as it is read.
+fn send_without_end(mut writer: TcpStream, is_endless: &AtomicBool, connection: &std::sync::Weak<()>) {
+    let notes = "LOAD 99\r\n".repeat(1000).into_bytes();
+    while connection.strong_count() > 0 {
+        if !is_endless.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        }
+        if writer.write_all(&notes).is_err() {
+            return;
+        }
+    }
+}
+
 /// How a client's connection went.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
     /// Answered, but not with `UP`.
     TurnedAway(String),
-    /// No answer within the client's time and half a second.
+    /// No answer within the client's time, half a second and the protocol's 50 ms.
     Unanswered,
     /// The client itself ended it.
     ByClient,
@@ -557,7 +562,7 @@
             record.note(format!("client {id} at proxy {}: ended, {end:?}", proxy.0));
             return outcome(up_at, end);
         }
-        if up_at.is_none() && now > opened_at + patience_ms + 500 {
+        if up_at.is_none() && now > opened_at + patience_ms + 550 {
             return outcome(None, End::Unanswered);
         }
         if up_at.is_some() && now >= until_ms {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,7 +3,7 @@
 
 mod addresses;
 mod common;
-mod severed;
+mod endless;
 mod wire;
 
 use std::time::Duration;
@@ -19,8 +19,8 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let code = match arguments.first().map(String::as_str) {
         Some("relay") => addresses::relay(&arguments[1..]),
+        Some("endless") => endless::run(),
         Some("addresses") => addresses::run(),
-        Some("severed") => severed::run(),
         Some("wire") => wire::run(),
         _ => common::CANNOT_RUN,
     };
