Sessions: serve a busy session once in a turn of the event loop

Cause: where one event's limit of reads is reached, the session goes on by an immediate timer. Each event of either socket set a timer of its own, and each timer set the next one, so every turn added one for each busy session.

Evidence: one turn of 1.28 s read 76 to 100 blocks on each of twenty sessions, where one event allows four (system calls, with the cost of the load reports removed). With 24 endless sessions a PING took 40 ms of processor time at first and 456 ms after four seconds.

Why this works: DeferredCall is pending at most once, and socket events add nothing while it is. Discovery's own flag for the same purpose gives way to it.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -6,7 +6,7 @@
 use crate::discovery::endpoint_list::EndpointList;
 use crate::discovery::events::DiscoveryEvents;
 use crate::discovery::poll_schedule::{CallTimeouts, PollRequest, PollSchedule};
-use crate::net::event_loop::call_after_other_events;
+use crate::net::event_loop::DeferredCall;
 use crate::net::http::{Exchange, HttpError, Response};
 use crate::net::ring_buffer::RingBuffer;
 use crate::net::socket::Socket;
@@ -38,8 +38,8 @@
     /// When the last call started.
     call_started_at: Cell<Timestamp>,
     timer: Cell<Option<RegistrationToken>>,
-    /// Whether a timer is set that goes on reading the response.
-    read_is_scheduled: Cell<bool>,
+    /// The call that goes on reading the response where one event left off.
+    further_read: DeferredCall,
     /// Whether the last call returned an endpoint list.
     last_call_succeeded: Cell<bool>,
     schedule: PollSchedule,
@@ -57,7 +57,7 @@
             exchange: RefCell::default(),
             call_started_at: Cell::default(),
             timer: Cell::default(),
-            read_is_scheduled: Cell::default(),
+            further_read: DeferredCall::default(),
             last_call_succeeded: Cell::default(),
             schedule: PollSchedule::new(timeouts, seed),
         })
@@ -215,15 +215,8 @@
 
     /// Schedules another call of [`Self::on_socket_ready`] after the other events of the event loop.
     fn reschedule(self: &Rc<Self>, events: &E) {
-        if self.read_is_scheduled.replace(true) {
-            return;
-        }
         let client = self.clone();
-        let is_scheduled = call_after_other_events(&events.handle(), move |events| {
-            client.read_is_scheduled.set(false);
-            client.on_socket_ready(events);
-        });
-        self.read_is_scheduled.set(is_scheduled);
+        self.further_read.schedule(&events.handle(), move |events| client.on_socket_ready(events));
     }
 
     fn on_response(self: &Rc<Self>, response: &Response, events: &mut E) {
--- a/crates/proxy/src/executor.rs
+++ b/crates/proxy/src/executor.rs
@@ -5,7 +5,6 @@
 use crate::downstream::lingering::LingeringCloses;
 use crate::metrics::Metrics;
 use crate::net::clock::Clock;
-use crate::net::event_loop::call_after_other_events;
 use crate::net::line::ProxyResponse;
 use crate::net::socket::Socket;
 use crate::pending_sessions::PendingSessions;
@@ -152,7 +151,7 @@
     /// Schedules another call of [`Session::on_ready`] after the other events of the event loop.
     pub fn reschedule(&self, session: &Session) {
         let weak = session.weak_self.clone();
-        let is_scheduled = call_after_other_events(&self.handle, move |proxy| {
+        let is_scheduled = session.further_io.schedule(&self.handle, move |proxy| {
             weak.upgrade().inspect(|session| session.on_ready(proxy));
         });
         self.metrics.check_invariant(is_scheduled, "a timer can be set");
--- a/crates/proxy/src/proxy/session_events.rs
+++ b/crates/proxy/src/proxy/session_events.rs
@@ -20,7 +20,7 @@
             Session::new(self.executor.sessions.allocate_id(), request, client, self.ring_size, now);
         let weak = session.weak_self.clone();
         session.client.set_on_ready(move |proxy| {
-            weak.upgrade().inspect(|session| session.on_ready(proxy));
+            weak.upgrade().inspect(|session| session.on_socket_event(proxy));
         });
         self.executor.sessions.insert(&session);
         self.discovery.clone().read_pending(self);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -5,6 +5,7 @@
 //! stream to the receiver is then ended the same way after the last buffered byte.
 
 use crate::executor::Executor;
+use crate::net::event_loop::DeferredCall;
 use crate::net::line::{LineDecoder, LineTooLong, ProxyResponse, MIGRATE_LINE};
 use crate::net::open_request::OpenRequest;
 use crate::net::ring_buffer::RingBuffer;
@@ -70,6 +71,8 @@
     pub migrating_since: Cell<Option<Timestamp>>,
     /// When the client sent the oldest line without a reply; none while no reply is outstanding.
     pub awaiting_reply_since: Cell<Option<Timestamp>>,
+    /// The call that goes on reading and writing where one event left off.
+    pub further_io: DeferredCall,
     /// Counts the session towards the connections of its namespace rule until it is closed.
     pub namespace_slot: RefCell<Option<Rc<()>>>,
     /// A weak reference to the session itself, for callbacks.
@@ -113,6 +116,7 @@
             to_client_end: Cell::default(),
             migrating_since: Cell::default(),
             awaiting_reply_since: Cell::default(),
+            further_io: DeferredCall::default(),
             namespace_slot: RefCell::default(),
             weak_self: weak.clone(),
         })
@@ -128,7 +132,16 @@
         self.stage_entered_at.set(now);
     }
 
-    /// Called when one of the sockets may have become readable or writable: forwards bytes in both directions.
+    /// Called when one of the sockets may have become readable or writable. Does nothing if [`Session::on_ready`] is
+    /// about to be called anyway, as events of busy sockets would otherwise add to what the session takes of each turn
+    /// of the event loop.
+    pub fn on_socket_event(&self, proxy: &mut Proxy) {
+        if !self.further_io.is_pending() {
+            self.on_ready(proxy);
+        }
+    }
+
+    /// Forwards bytes in both directions, as far as the sockets allow and up to the limit per event.
     pub fn on_ready(&self, proxy: &mut Proxy) {
         for _ in 0..MAX_IO_ROUNDS_PER_EVENT {
             if self.stage.get() == Stage::Closed {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -57,7 +57,7 @@
         let socket = Socket::connect(server.address.get())?;
         let weak = session.weak_self.clone();
         socket.register(&executor.handle, move |proxy| {
-            weak.upgrade().inspect(|session| session.on_ready(proxy));
+            weak.upgrade().inspect(|session| session.on_socket_event(proxy));
         })?;
         let attempt = Rc::new(Attempt {
             server,
--- a/crates/proxy/tests/sockets/endless_responses.rs
+++ b/crates/proxy/tests/sockets/endless_responses.rs
@@ -1,7 +1,7 @@
 //! Servers and discovery services that never stop sending: nobody else waits for them, and their connections are closed.
 
 use crate::harness::{list_response, Connection, FakeServer, ProxyProcess, Settings, DEFAULT, TEST_TIMEOUT};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -158,3 +158,28 @@
     let held = proxy.cpu_time() - before;
     assert!(held < MAX_LINE_DELAY, "the response took {held:?} of processor time");
 }
+
+/// Guards against sessions that are served ever more often in each turn of the event loop for as long as their servers go
+/// on sending: after some seconds, all other connections were held up for over a second.
+#[test]
+fn endless_sessions_delay_no_other_connection_however_long_they_last() {
+    const SESSIONS: usize = 96;
+    const DURATION: Duration = Duration::from_secs(6);
+    let server = FakeServer::new("s1");
+    let proxy = ProxyProcess::start(Settings { max_descriptors: 512, ..DEFAULT }, &[&server]);
+    let sessions: Vec<_> = (0..SESSIONS).map(|_| proxy.establish(&server)).collect();
+    for (mut client, upstream) in sessions {
+        send_endlessly(upstream, "", "M 1\r\n");
+        std::thread::spawn(
+            move || while client.stream.read(&mut [0; BLOCK_BYTES]).is_ok_and(|read| read > 0) {},
+        );
+    }
+    let started_at = Instant::now();
+    let mut longest = Duration::ZERO;
+    while started_at.elapsed() < DURATION {
+        let before = proxy.cpu_time();
+        assert_eq!(proxy.connect().send("PING\r\n").read_line(), "PONG");
+        longest = longest.max(proxy.cpu_time() - before);
+    }
+    assert!(longest < MAX_LINE_DELAY, "a response took {longest:?} of processor time");
+}
