Load reports: pass on at most two a second of each server at once, of others the last

Cause: each report was passed to the load balancer, which walks all sessions at the server and ranks all servers for the group of each to find one to migrate.

Why this works: a report describes the server's present state, so LatencyReportLimiter passes one on at once if the last is half a second old, and holds the last of the others until message latencies are reported, once a second. Servers send one a second, so nothing changes for them.

--- a/crates/proxy/src/proxy/ticks.rs
+++ b/crates/proxy/src/proxy/ticks.rs
@@ -38,7 +38,7 @@
     }
 
     /// Reports to the load balancer how long clients have been waiting for a reply, and the message latency of each
-    /// server.
+    /// server, as measured and as last reported by it.
     fn report_message_latencies(&mut self, now: Timestamp) {
         let servers: Vec<_> = self.executor.servers.values().cloned().collect();
         let is_waiting = |session: &Session| {
@@ -55,7 +55,9 @@
             }
         }
         for server in servers {
-            if let Some((latency, session)) = server.message_latency.take_median() {
+            let measured = server.message_latency.take_median();
+            let reported = server.latency_report_limiter.take_held(now);
+            for (latency, session) in measured.into_iter().chain(reported) {
                 log::debug!("message latency of {}: {} ms", server.id, latency.as_ms());
                 self.balancer.on_message_latency(session.id, latency, now, &mut self.executor);
                 self.run_deferred_actions();
--- a/crates/proxy/src/upstream/load_reports.rs
+++ b/crates/proxy/src/upstream/load_reports.rs
@@ -5,7 +5,8 @@
 //! in milliseconds. It is sent once a second while that latency is high, on one connection of each proxy.
 
 use shelfgrade::time::{DurationExt, Timestamp};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 /// Reports with a value below this are message latencies.
@@ -19,6 +20,9 @@
 const REPORT_JITTER_MS: f64 = 40.0;
 /// After a longer gap, the time since the last report gives no evidence of its kind.
 const MAX_REPORT_GAP: Duration = Duration::from_millis(5500);
+/// Message latency reports of one server that follow each other faster than this are combined. It is shorter than the
+/// interval at which servers send them.
+const MIN_LATENCY_REPORT_GAP: Duration = Duration::from_millis(500);
 
 /// Classifies the load reports of one server by their values and their timing.
 #[derive(Default)]
@@ -42,6 +46,50 @@
     }
 }
 
+/// A message latency report, with the session on which it was received.
+pub struct LatencyReport<S> {
+    pub latency: Duration,
+    pub session: Weak<S>,
+}
+
+/// Combines the message latency reports of one server, so that the work that they cause does not depend on how many the
+/// server sends. A report describes the present state of the server, so only the latest one counts.
+pub struct LatencyReportLimiter<S> {
+    /// When a report was last passed on.
+    last_passed_at: Cell<Option<Timestamp>>,
+    /// The latest report that has not been passed on.
+    held: RefCell<Option<LatencyReport<S>>>,
+}
+
+impl<S> Default for LatencyReportLimiter<S> {
+    fn default() -> Self {
+        LatencyReportLimiter { last_passed_at: Cell::default(), held: RefCell::default() }
+    }
+}
+
+impl<S> LatencyReportLimiter<S> {
+    /// Receives a report. Returns whether the caller is to pass it on now; otherwise it is held for [`Self::take_held`],
+    /// in place of the previous one.
+    pub fn receive(&self, report: LatencyReport<S>, now: Timestamp) -> bool {
+        let is_too_soon = |at: Timestamp| now.since(at) < MIN_LATENCY_REPORT_GAP;
+        if self.last_passed_at.get().is_some_and(is_too_soon) {
+            self.held.replace(Some(report));
+            return false;
+        }
+        self.held.take();
+        self.last_passed_at.set(Some(now));
+        true
+    }
+
+    /// Returns the latency of the held report with its session, and removes it. A report of a closed session is
+    /// dropped.
+    pub fn take_held(&self, now: Timestamp) -> Option<(Duration, Rc<S>)> {
+        let LatencyReport { latency, session } = self.held.take()?;
+        self.last_passed_at.set(Some(now));
+        Some((latency, session.upgrade()?))
+    }
+}
+
 fn is_report_interval(gap: Duration) -> bool {
     let intervals = (gap.as_ms() / REPORT_INTERVAL_MS).round();
     intervals >= 1.0 && (gap.as_ms() - intervals * REPORT_INTERVAL_MS).abs() < REPORT_JITTER_MS
--- a/crates/proxy/src/upstream/server.rs
+++ b/crates/proxy/src/upstream/server.rs
@@ -1,7 +1,7 @@
 //! A server in the endpoint list.
 
 use crate::upstream::health_check::{HealthCheck, HealthCheckOwner};
-use crate::upstream::load_reports::LoadReportClassifier;
+use crate::upstream::load_reports::{LatencyReportLimiter, LoadReportClassifier};
 use crate::upstream::message_latency::MessageLatencySamples;
 use shelfgrade::host::{Endpoint, EndpointState, ServerId};
 use std::cell::{Cell, RefCell};
@@ -20,6 +20,8 @@
     pub message_latency: MessageLatencySamples<T::Session>,
     /// Distinguishes the two kinds of load reports.
     pub load_report_classifier: LoadReportClassifier,
+    /// Combines message latency reports that arrive in quick succession.
+    pub latency_report_limiter: LatencyReportLimiter<T::Session>,
     /// The connection for health checks, if one is open.
     pub health_check: RefCell<Option<Rc<HealthCheck<T>>>>,
 }
@@ -33,6 +35,7 @@
             address: Cell::new(address),
             message_latency: MessageLatencySamples::default(),
             load_report_classifier: LoadReportClassifier::default(),
+            latency_report_limiter: LatencyReportLimiter::default(),
             health_check: RefCell::default(),
         }
     }
--- a/crates/proxy/src/upstream/server_side.rs
+++ b/crates/proxy/src/upstream/server_side.rs
@@ -5,6 +5,7 @@
 use crate::proxy::Proxy;
 use crate::session::{Session, Stage};
 use crate::upstream::attempt::Attempt;
+use crate::upstream::load_reports::LatencyReport;
 use crate::upstream::server::Server;
 use shelfgrade::host::{AttemptOutcome, EndpointState};
 use shelfgrade::time::DurationExt;
@@ -162,13 +163,16 @@
         let is_valid = |value: &f64| (0.0..MAX_LOAD_US_PER_S).contains(value);
         let Some(value) = value.parse().ok().filter(is_valid) else { return };
         let now = proxy.now();
-        if proxy.executor.servers_report_latency
-            && server.load_report_classifier.is_message_latency(value, now)
+        if !proxy.executor.servers_report_latency
+            || !server.load_report_classifier.is_message_latency(value, now)
         {
+            return proxy.balancer.on_load_report(self.id, value);
+        }
+        let latency = Duration::from_ms(value);
+        let report = LatencyReport { latency, session: self.weak_self.clone() };
+        if server.latency_report_limiter.receive(report, now) {
             log::debug!("{} reports a message latency of {value} ms", server.id);
-            proxy.on_message_latency(self.id, Duration::from_ms(value));
-        } else {
-            proxy.balancer.on_load_report(self.id, value);
+            proxy.on_message_latency(self.id, latency);
         }
     }
 
--- a/crates/proxy/tests/sockets/endless_responses.rs
+++ b/crates/proxy/tests/sockets/endless_responses.rs
@@ -183,3 +183,35 @@
     }
     assert!(longest < MAX_LINE_DELAY, "a response took {longest:?} of processor time");
 }
+
+/// The processor time that the proxy takes to pass on a server's repeated load reports, sent on one of its sessions.
+fn cost_of_repeated_load_reports(other_sessions: usize) -> Duration {
+    const REPORT: &str = "LOAD 99\r\n";
+    const REPORTS: usize = 200_000;
+    let server = FakeServer::new("s1");
+    let settings = Settings { servers_report_latency: true, max_descriptors: 512, ..DEFAULT };
+    let proxy = ProxyProcess::start(settings, &[&server]);
+    let (mut client, mut upstream) = proxy.establish(&server);
+    let _others: Vec<_> = (0..other_sessions)
+        .map(|i| {
+            let mut client = proxy.open_session(&format!("lift-{i}"), &format!(",d=3000,g=bank-{i}"));
+            let (upstream, _) = server.accept_session();
+            assert_eq!(client.read_line(), "UP 0123");
+            (client, upstream)
+        })
+        .collect();
+    let before = proxy.cpu_time();
+    let sender = std::thread::spawn(move || upstream.stream.write_all(REPORT.repeat(REPORTS).as_bytes()));
+    client.stream.read_exact(&mut vec![0; REPORT.len() * REPORTS]).unwrap();
+    let cost = proxy.cpu_time() - before;
+    sender.join().unwrap().unwrap();
+    cost
+}
+
+/// Guards against load reports that each cost a walk over all sessions of their server: repeated without a pause, they
+/// held up all other connections for seconds.
+#[test]
+fn repeated_load_reports_cost_the_same_however_many_sessions_their_server_has() {
+    let [alone, among_many] = [0, 64].map(cost_of_repeated_load_reports);
+    assert!(among_many < 2 * alone, "{among_many:?} beside {alone:?}");
+}
--- a/crates/proxy/tests/unit/load_reports.rs
+++ b/crates/proxy/tests/unit/load_reports.rs
@@ -31,3 +31,22 @@
         [false, true, true]
     );
 }
+
+#[test]
+fn of_latency_reports_in_quick_succession_the_first_counts_at_once_and_the_last_one_later() {
+    let (limiter, session) = (LatencyReportLimiter::default(), Rc::new(()));
+    let at = |ms: u64| Timestamp::from_ms(60_000.0) + Duration::from_millis(ms);
+    let receive = |ms: u64, session: &Rc<()>| {
+        let report = LatencyReport { latency: Duration::from_millis(ms), session: Rc::downgrade(session) };
+        limiter.receive(report, at(ms))
+    };
+    assert_eq!([0, 1, 2, 499].map(|ms| receive(ms, &session)), [true, false, false, false]);
+    let take_held = |ms| limiter.take_held(at(ms)).map(|(latency, _)| latency);
+    assert_eq!(take_held(900), Some(Duration::from_millis(499)));
+    assert_eq!(take_held(901), None);
+    // Reports at the usual interval are not held, and replace a held one.
+    assert_eq!([1000, 2000, 3000].map(|ms| receive(ms, &session)), [false, true, true]);
+    assert_eq!(take_held(3001), None);
+    assert!(!receive(3002, &Rc::new(())), "a report of a session that closes before it is passed on");
+    assert_eq!(take_held(4000), None);
+}
