Rebalancing: a search for a session to migrate that finds none holds for 250 ms

What callers saw: nothing yet; found on related paths of the load reports' fault. When a server with many sessions stops responding, all of them are reported to the load balancer at the same moment, once a second.

Cause: each report made a walk of its own over all sessions of the server, so the work grew with the square of their number. The same walk was made for each late health check.

Why this works: the walk's result, that no session is to be migrated, is kept with the server for as long as the shortest time between two of its checks. A search that finds one ends with that session's migration.

--- a/src/balancer/health_checks.rs
+++ b/src/balancer/health_checks.rs
@@ -44,7 +44,7 @@
         host.schedule_wakeup(at);
         for server in self.state.servers.all().iter() {
             if server.state.get() == EndpointState::Draining {
-                self.rebalance(server, true, 1.0, host);
+                self.rebalance(server, true, 1.0, now, host);
             } else if with_health_checks && server.is_check_due(now) {
                 server.last_health_check.set(now);
                 host.check_health(&server.id);
--- a/src/balancer/rebalancing.rs
+++ b/src/balancer/rebalancing.rs
@@ -2,7 +2,7 @@
 
 use super::LoadBalancer;
 use crate::host::{Host, SessionId};
-use crate::state::{Server, Session};
+use crate::state::{FailedMigrationSearch, Server, Session};
 use crate::time::{DurationExt, Timestamp};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -15,6 +15,9 @@
 const BACKLOG_LATENESS: f64 = (3.0 - LATE_FRACTION) / (1.0 - LATE_FRACTION);
 /// The probability of migrating one connection away from a server, per connection that the server holds.
 const MIGRATION_PROBABILITY: f64 = 0.35;
+/// How long it is taken to hold that a server has no session to migrate: as long as the shortest time between two checks
+/// of a server. All sessions of a server that has stopped responding are reported at the same moment.
+const FAILED_SEARCH_LIFETIME: Duration = Duration::from_millis(250);
 
 /// A session that may be migrated.
 struct MigrationCandidate {
@@ -58,7 +61,7 @@
             // A session is migrated only if it is likely to be admitted when it reconnects.
             if self.state.may_start_attempt(now) {
                 let others_overload = self.state.mean_overload(|other| !Rc::ptr_eq(other, server), now);
-                self.rebalance(server, lateness > BACKLOG_LATENESS, 1.0 + others_overload, host);
+                self.rebalance(server, lateness > BACKLOG_LATENESS, 1.0 + others_overload, now, host);
             }
         }
     }
@@ -71,18 +74,23 @@
         server: &Rc<Server>,
         any_session: bool,
         probability_factor: f64,
+        now: Timestamp,
         host: &mut dyn Host,
     ) {
         let sessions = server.sessions.borrow().len() as f64;
-        if self.state.random_unit() >= MIGRATION_PROBABILITY * probability_factor * sessions {
-            return;
-        }
-        let candidate = self.migration_candidate(server);
-        if let Some(MigrationCandidate { session, .. }) = candidate.filter(|c| c.is_misplaced || any_session)
+        if self.state.random_unit() >= MIGRATION_PROBABILITY * probability_factor * sessions
+            || server.has_no_session_to_migrate(any_session, now)
         {
-            session.closing.set(true);
-            host.migrate(session.id);
+            return;
         }
+        let candidate = self.migration_candidate(server).filter(|c| c.is_misplaced || any_session);
+        let Some(MigrationCandidate { session, .. }) = candidate else {
+            let expires_at = now + FAILED_SEARCH_LIFETIME;
+            let failed_search = FailedMigrationSearch { any_session, expires_at };
+            return server.failed_migration_search.set(Some(failed_search));
+        };
+        session.closing.set(true);
+        host.migrate(session.id);
     }
 
     /// Returns the session to migrate first: sessions outside their group's servers before others, then the heaviest.
@@ -108,3 +116,11 @@
         ranked_before >= self.state.arrivals.servers_for_group(group, active().count())
     }
 }
+
+impl Server {
+    /// Whether a recent search has shown that there is no session to migrate away from this server.
+    fn has_no_session_to_migrate(&self, any_session: bool, now: Timestamp) -> bool {
+        let covers = |search: FailedMigrationSearch| search.any_session || !any_session;
+        self.failed_migration_search.get().is_some_and(|search| covers(search) && now < search.expires_at)
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use arrival_history::ArrivalHistory;
 pub(crate) use latency_samples::LatencySamples;
-pub(crate) use server::{OutlierScore, Server};
+pub(crate) use server::{FailedMigrationSearch, OutlierScore, Server};
 pub(crate) use server_set::ServerSet;
 pub(crate) use session::{Attempt, Session};
 
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -17,6 +17,15 @@
     pub(crate) updated_at: Timestamp,
 }
 
+/// A search for a session to migrate away from a server that found none.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FailedMigrationSearch {
+    /// Whether the search was not limited to sessions outside their group's servers.
+    pub(crate) any_session: bool,
+    /// Until when the result is taken to hold.
+    pub(crate) expires_at: Timestamp,
+}
+
 /// A server of the endpoint list, and what this proxy has observed of it.
 #[derive(Default)]
 pub(crate) struct Server {
@@ -41,6 +50,8 @@
     pub(crate) last_connection_failed: Cell<bool>,
     pub(crate) outlier_score: Cell<OutlierScore>,
     pub(crate) outlier_half_life: Cell<Duration>,
+    /// The last search for a session to migrate that found none.
+    pub(crate) failed_migration_search: Cell<Option<FailedMigrationSearch>>,
     /// Sessions that wait for this server's answer to a health check.
     pub(crate) awaiting_health_check: RefCell<Vec<Weak<Session>>>,
     /// When the last periodic health check was sent.
--- a/tests/scenarios/harness.rs
+++ b/tests/scenarios/harness.rs
@@ -269,3 +269,10 @@
     let list: Vec<_> = (0..80).map(|i| endpoint(&format!("a{i:02}"))).collect();
     Proxy::in_fleet(300, Some(8.0), seed, &list)
 }
+
+/// Returns the processor time that this thread has used.
+pub fn thread_cpu_time() -> Duration {
+    let statistics = std::fs::read_to_string("/proc/thread-self/schedstat").expect("scheduler statistics");
+    let nanoseconds = statistics.split(' ').next().and_then(|first| first.parse().ok());
+    Duration::from_nanos(nanoseconds.expect("a number of nanoseconds"))
+}
--- a/tests/scenarios/rebalancing.rs
+++ b/tests/scenarios/rebalancing.rs
@@ -141,3 +141,28 @@
     proxy.balancer.on_health_check("a1", Duration::from_millis(2), proxy.now, &mut proxy.host);
     assert!(proxy.host.migrated.is_empty());
 }
+
+/// The processor time that the balancer takes for many reports in turn on all of these sessions, which are all at one
+/// server and wait for a reply.
+fn cost_of_reports_on_waiting_sessions(sessions: u64) -> Duration {
+    const REPORTS: u64 = 20_000;
+    let mut proxy = Proxy::with_servers(&["a1"].map(endpoint));
+    let groups: Vec<_> = (1..=sessions).map(|i| format!("bank-{i}")).collect();
+    for (session, group) in (1..).map(SessionId).zip(&groups) {
+        let open = Arrival { session, group: Some(group), ..arrival(group) };
+        proxy.balancer.restore_session(&open, "a1", proxy.now);
+    }
+    let before = thread_cpu_time();
+    (0..REPORTS).for_each(|i| proxy.report_message_latency(1 + i % sessions, 100));
+    let cost = thread_cpu_time() - before;
+    assert!(proxy.host.migrated.is_empty(), "all sessions are at their group's server");
+    cost
+}
+
+/// Guards against reports that each cost a walk over all sessions of the server: when one with many sessions stops
+/// responding, the reports on all of them held up everyone else.
+#[test]
+fn reports_on_all_sessions_of_a_server_cost_the_same_however_many_they_are() {
+    let [few, many] = [100, 1600].map(cost_of_reports_on_waiting_sessions);
+    assert!(many < 4 * few, "{many:?} with 1600 sessions, {few:?} with 100");
+}
