Tests: a floor under the processor time that a test of rebalancing compares with

reports_on_all_sessions_of_a_server_cost_the_same_however_many_they_are failed once after the fix, with 4 ms for 1,600 sessions and 0 for 100: the system counts processor time in steps. What is compared with is now 50 ms at the least.

--- a/tests/scenarios/rebalancing.rs
+++ b/tests/scenarios/rebalancing.rs
@@ -163,6 +163,8 @@
 /// responding, the reports on all of them held up everyone else.
 #[test]
 fn reports_on_all_sessions_of_a_server_cost_the_same_however_many_they_are() {
+    // The system counts processor time in steps of some milliseconds.
+    const MEASURABLE: Duration = Duration::from_millis(50);
     let [few, many] = [100, 1600].map(cost_of_reports_on_waiting_sessions);
-    assert!(many < 4 * few, "{many:?} with 1600 sessions, {few:?} with 100");
+    assert!(many < 4 * few.max(MEASURABLE), "{many:?} with 1600 sessions, {few:?} with 100");
 }
