Placement: check every rule again for a server that a session has waited for

Cause: a server that answered a health check got the session that waited for it if it was active. Whether the request may be repeated there, whether that server had been tried, and what a warming server is admitted, was asked before the wait alone.

Why this works: such a server is taken only if the session may be placed there by group at that moment; else the session is placed anew at once.

Failed before: a_late_health_check_answer_does_not_send_a_keyed_request_to_another_zone, a_health_check_answer_after_the_window_of_a_keyed_request_does_not_send_it_again and, for the same lines, sessions_that_wait_for_a_warming_server_are_not_all_sent_there_when_it_answers (three at once).

--- a/src/balancer/group_affinity.rs
+++ b/src/balancer/group_affinity.rs
@@ -70,8 +70,7 @@
     /// hold none and are not trusted: they are probably down though still listed.
     fn ranked_servers(&self) -> Vec<RankedServer<'a>> {
         let hash = self.group.unwrap_or(self.session.key);
-        let factor = if self.group.is_some() { GROUP_QUOTA_FRACTION } else { 1.0 };
-        let admission = AdmissionInputs { quota: self.admission.quota * factor, ..self.admission };
+        let admission = self.affinity_admission();
         let is_present = |server: &&Rc<Server>| {
             self.is_usable(server, &admission)
                 && (!server.last_connection_failed.get()
@@ -82,6 +81,12 @@
         self.servers.iter().filter(is_present).map(ranked).collect()
     }
 
+    /// Returns the inputs to the admission to warming servers where the session is placed by affinity.
+    pub(super) fn affinity_admission(&self) -> AdmissionInputs {
+        let factor = if self.group.is_some() { GROUP_QUOTA_FRACTION } else { 1.0 };
+        AdmissionInputs { quota: self.admission.quota * factor, ..self.admission }
+    }
+
     /// Returns how many of the ranked servers are the group's own. Where no load is observed there are extra ones, to
     /// spread the load that a single server would get. Reconnecting clients are spread only if the first server is
     /// warming up, because each server that holds any member of a group does the group's work.
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -22,11 +22,26 @@
 }
 
 impl Placement {
-    fn select(&self, session: &Rc<Session>, now: Timestamp, host: &mut dyn Host) -> Option<Rc<Server>> {
+    /// Selects a server, which is `preselected` if the session may still be sent there: a mid-flow session to the server
+    /// that holds its connection, any other to the first server that answered its health check.
+    fn select(
+        &self,
+        session: &Rc<Session>,
+        preselected: Option<Rc<Server>>,
+        now: Timestamp,
+        host: &mut dyn Host,
+    ) -> Option<Rc<Server>> {
+        let preselected = preselected.filter(|server| server.is_active());
+        if session.mid_flow && preselected.is_some() {
+            return preselected;
+        }
         let all = self.state.servers.all();
         let allowed = session.allowed_among(&all);
         let context = PlacementContext::new(self, session, allowed.as_ref().unwrap_or(&all), now);
-        context.server_by_hash().or_else(|| context.server_by_affinity(host))
+        preselected
+            .filter(|server| context.is_usable(server, &context.affinity_admission()))
+            .or_else(|| context.server_by_hash())
+            .or_else(|| context.server_by_affinity(host))
     }
 }
 
@@ -38,8 +53,7 @@
         now: Timestamp,
         host: &mut dyn Host,
     ) -> FilterStatus {
-        let selected = selection.server.take().filter(|server| server.is_active());
-        selection.server = selected.or_else(|| self.select(session, now, host));
+        selection.server = self.select(session, selection.server.take(), now, host);
         if session.awaits_health_check.get() {
             FilterStatus::Wait
         } else if selection.server.is_some() {
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -4,6 +4,7 @@
 mod final_answers;
 mod group_affinity;
 mod harness;
+mod health_check_waits;
 mod list_freshness;
 mod outlier_detection;
 mod placement;
