Health checks: a session's wait ends by its own checks and time limit alone

Cause: a session stayed noted at the servers that had not answered yet, and in the list of time limits. When its attempt had failed and it waited again, an answer or the time limit of the first wait ended the second one.

Why this works: HealthCheckWaiter says which attempt the checks were sent before, and a session is asked for at most once before each.

a_wait_for_health_checks_is_not_cut_short_by_the_end_of_an_earlier_wait failed before.

--- a/src/balancer/health_checks.rs
+++ b/src/balancer/health_checks.rs
@@ -2,9 +2,9 @@
 
 use super::LoadBalancer;
 use crate::host::{EndpointState, Host};
-use crate::state::{Server, Session};
+use crate::state::{HealthCheckWaiter, Server, Session};
 use crate::time::{DurationExt, Timestamp};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The time between two rounds of checks. At this interval, a draining server with twenty connections is empty within
@@ -28,10 +28,10 @@
     pub(super) with_health_checks: bool,
 }
 
-/// A session that waits for the answer to a health check.
+/// How long a session waits for the answers to its health checks.
 pub(super) struct HealthCheckWait {
-    pub(super) until: Timestamp,
-    pub(super) session: Weak<Session>,
+    until: Timestamp,
+    waiter: HealthCheckWaiter,
 }
 
 impl LoadBalancer {
@@ -57,11 +57,10 @@
         let Some(server) = self.state.servers.find(server) else { return };
         // A check that was given up has taken longer than the objective.
         let is_answer = latency <= self.message_latency_objective;
-        let waiting = if is_answer { server.awaiting_health_check.take() } else { Vec::new() };
-        for session in waiting.iter().filter_map(Weak::upgrade) {
-            if session.awaits_health_check.take() {
-                self.place(&session, Some(server.clone()), now, host);
-            }
+        let waiters = if is_answer { server.health_check_waiters.take() } else { Vec::new() };
+        for session in waiters.iter().filter_map(HealthCheckWaiter::waiting_session) {
+            session.awaits_health_check.set(false);
+            self.place(&session, Some(server.clone()), now, host);
         }
         let ratio = server.record_health_check(latency);
         let lateness = (ratio - LATE_RATIO) / (OVERLOADED_RATIO - LATE_RATIO);
@@ -77,17 +76,16 @@
     ) {
         let half_time_left = session.deadline.since(now).scaled(0.5);
         let until = now + self.message_latency_objective.min(half_time_left);
-        self.health_check_waits.push(HealthCheckWait { until, session: Rc::downgrade(session) });
+        self.health_check_waits.push(HealthCheckWait { until, waiter: HealthCheckWaiter::new(session) });
         host.schedule_wakeup(until);
     }
 
     /// Places the sessions whose health checks were not answered in time.
     pub(super) fn end_health_check_waits(&mut self, now: Timestamp, host: &mut dyn Host) {
         let due: Vec<_> = self.health_check_waits.extract_if(.., |wait| wait.until <= now).collect();
-        for session in due.iter().filter_map(|wait| wait.session.upgrade()) {
-            if session.awaits_health_check.take() {
-                self.place(&session, None, now, host);
-            }
+        for session in due.iter().filter_map(|wait| wait.waiter.waiting_session()) {
+            session.awaits_health_check.set(false);
+            self.place(&session, None, now, host);
         }
     }
 }
@@ -104,10 +102,10 @@
     /// Makes a session wait for this server's answer to a health check, which it shares with other waiting sessions.
     /// Does nothing if the host does not allow health checks.
     pub(super) fn request_health_check(&self, session: &Rc<Session>, host: &mut dyn Host) {
-        let mut waiting = self.awaiting_health_check.borrow_mut();
-        waiting.retain(|session| session.upgrade().is_some_and(|s| s.awaits_health_check.get()));
-        if !waiting.is_empty() || host.check_health(&self.id) {
-            waiting.push(Rc::downgrade(session));
+        let mut waiters = self.health_check_waiters.borrow_mut();
+        waiters.retain(|waiter| waiter.waiting_session().is_some());
+        if !waiters.is_empty() || host.check_health(&self.id) {
+            waiters.push(HealthCheckWaiter::new(session));
             session.awaits_health_check.set(true);
         }
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use latency_samples::LatencySamples;
 pub(crate) use server::{FailedMigrationSearch, OutlierScore, Server};
 pub(crate) use server_set::ServerSet;
-pub(crate) use session::{Attempt, Session};
+pub(crate) use session::{Attempt, HealthCheckWaiter, Session};
 
 use crate::balancer::{ConcurrencyWindow, FlowTable};
 use nanorand::{Rng, WyRand};
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -1,6 +1,6 @@
 //! A server and what this proxy has observed of it.
 
-use super::{push_bounded, Session};
+use super::{push_bounded, HealthCheckWaiter, Session};
 use crate::host::{Endpoint, EndpointState, ServerId, SessionId};
 use crate::time::{DurationExt, Timestamp};
 use std::cell::{Cell, RefCell};
@@ -53,7 +53,7 @@
     /// The last search for a session to migrate that found none.
     pub(crate) failed_migration_search: Cell<Option<FailedMigrationSearch>>,
     /// Sessions that wait for this server's answer to a health check.
-    pub(crate) awaiting_health_check: RefCell<Vec<Weak<Session>>>,
+    pub(crate) health_check_waiters: RefCell<Vec<HealthCheckWaiter>>,
     /// When the last periodic health check was sent.
     pub(crate) last_health_check: Cell<Timestamp>,
     health_check_latencies: RefCell<VecDeque<Duration>>,
--- a/src/state/session.rs
+++ b/src/state/session.rs
@@ -4,7 +4,7 @@
 use crate::host::{AdmissionTurn, Arrival, AttemptOutcome, Idempotency, RequestClass, ServerId, SessionId};
 use crate::time::Timestamp;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,6 +16,27 @@
     pub(crate) outcome: Option<AttemptOutcome>,
 }
 
+/// A session that waits for answers to the health checks that were sent before its next attempt.
+pub(crate) struct HealthCheckWaiter {
+    session: Weak<Session>,
+    /// How many attempts the session has had, which tells these health checks from those before another attempt.
+    attempts: usize,
+}
+
+impl HealthCheckWaiter {
+    pub(crate) fn new(session: &Rc<Session>) -> Self {
+        HealthCheckWaiter { session: Rc::downgrade(session), attempts: session.attempts.borrow().len() }
+    }
+
+    /// Returns the session if it still waits for these health checks.
+    pub(crate) fn waiting_session(&self) -> Option<Rc<Session>> {
+        let session = self.session.upgrade()?;
+        let still_waits =
+            session.awaits_health_check.get() && session.attempts.borrow().len() == self.attempts;
+        still_waits.then_some(session)
+    }
+}
+
 /// A session from its arrival to its final answer or, if it is established, to its end.
 #[derive(Default)]
 pub(crate) struct Session {
--- a/tests/scenarios/health_check_waits.rs
+++ b/tests/scenarios/health_check_waits.rs
@@ -93,3 +93,19 @@
     }
     assert!(waits > 20, "{waits}");
 }
+
+/// Guards against a wait that ends with an earlier one of the same session, before its own servers had time to answer.
+#[test]
+fn a_wait_for_health_checks_is_not_cut_short_by_the_end_of_an_earlier_wait() {
+    let mut proxy = proxy_in_large_fleet(1);
+    let session = proxy.arrive(Arrival { group: Some("g"), ..arrival("k") });
+    let first = proxy.host.health_checked[0].clone();
+    proxy.answer_health_check(&first, 3);
+    proxy.run_for(40);
+    proxy.end_attempt(session, AttemptOutcome::Failed);
+    assert!(proxy.host.health_checked.len() > 3, "the session waits again");
+    proxy.run_for(49);
+    assert_eq!(proxy.servers_tried(session), [first.as_str()]);
+    proxy.run_for(1);
+    assert_eq!(proxy.servers_tried(session).len(), 2);
+}
