Attempts: send no request to a server that has restarted while connecting to it

A connection to a warm server takes up to 1.5 s to come up, the server restarts meanwhile and discovery tells so, and the cold server gets the request.

Cause: before the request is written it was asked whether the server is active and the request may be repeated, but not whether the server has restarted since it was selected. Only the concurrency window limits how many such requests there are.

Why this works: an attempt remembers when its server had started; if that has changed and the server is warming up, nothing is sent and the session is placed anew by all rules.

no_request_is_sent_to_a_server_that_restarts_while_its_connection_is_being_established failed before: the server read the request.

--- a/crates/proxy/src/upstream/server_side.rs
+++ b/crates/proxy/src/upstream/server_side.rs
@@ -26,8 +26,8 @@
             if let Ok(false) = connected {
                 return false;
             }
-            if connected.is_err() || !self.may_send_request(&attempt, proxy) {
-                self.on_attempt_ended(&attempt, AttemptOutcome::Unreachable, proxy);
+            if let Some(outcome) = self.outcome_before_request(&attempt, connected.is_ok(), proxy) {
+                self.on_attempt_ended(&attempt, outcome, proxy);
                 return true;
             }
             attempt.send_request(self, proxy);
@@ -46,14 +46,33 @@
         }
     }
 
+    /// The outcome of an attempt that ends before anything is sent; none if the request is to be sent. `is_connected`:
+    /// the connection has been established, and has not failed.
+    fn outcome_before_request(
+        &self,
+        attempt: &Attempt,
+        is_connected: bool,
+        proxy: &mut Proxy,
+    ) -> Option<AttemptOutcome> {
+        if !is_connected {
+            Some(AttemptOutcome::Unreachable)
+        } else if !self.may_send_request(attempt, proxy) {
+            Some(AttemptOutcome::NotSent)
+        } else if attempt.socket.peer_has_closed() {
+            Some(AttemptOutcome::Unreachable)
+        } else {
+            None
+        }
+    }
+
     /// Whether the request may be sent over a connection that has just been established. It may not if the server has
-    /// been removed or is draining by now, if the load balancer does not want this attempt any more, or if the server
-    /// has closed the connection. As nothing is sent then, the server cannot have run the request.
+    /// been removed or is draining by now, or if the load balancer does not want this attempt any more. As nothing is
+    /// sent then, the server cannot have run the request.
     fn may_send_request(&self, attempt: &Attempt, proxy: &mut Proxy) -> bool {
         proxy.discovery.clone().read_pending(proxy);
         let is_eligible = attempt.server.state.get() == EndpointState::Active || self.is_restored();
         let now = proxy.now();
-        is_eligible && proxy.balancer.may_send_request(self.id, now) && !attempt.socket.peer_has_closed()
+        is_eligible && proxy.balancer.may_send_request(self.id, now)
     }
 
     fn is_current(&self, attempt: &Rc<Attempt>) -> bool {
--- a/crates/proxy/tests/sockets/concurrent_events.rs
+++ b/crates/proxy/tests/sockets/concurrent_events.rs
@@ -36,6 +36,27 @@
     }
 }
 
+/// Guards against requests to a cold server beyond what it can handle: the server is selected as a warm one, and restarts
+/// while the connection to it is being established.
+#[test]
+fn no_request_is_sent_to_a_server_that_restarts_while_its_connection_is_being_established() {
+    let (full_server, _filler_client) = FakeServer::with_full_backlog("s1");
+    let settings = Settings { slow_start_ms: 60_000, ..DEFAULT };
+    let proxy = ProxyProcess::start(settings, &[&full_server]);
+    let (mut watch, _) = proxy.discovery.next_poll();
+    let mut client = proxy.open_session("lift-1", ",d=6000");
+    assert!(client.is_silent(), "the attempt is still connecting");
+    watch.send(&list_response(8, false, &[full_server.endpoint_just_started()]));
+    assert!(read_request(&mut watch).contains("index=8"));
+    let _filler = full_server.accept();
+    let mut upstream = full_server.accept();
+    assert_eq!(upstream.read_line(), "");
+    assert!(
+        client.read_line().starts_with("BUSY "),
+        "the request was never sent, so the client may retry it"
+    );
+}
+
 /// Servers recognize repeated requests only within the idempotency window, and connecting may take longer than that.
 #[test]
 fn no_retry_is_sent_after_the_idempotency_window_has_passed_while_connecting() {
--- a/crates/proxy/tests/sockets/harness.rs
+++ b/crates/proxy/tests/sockets/harness.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const BINARY: &str = env!("CARGO_BIN_EXE_shelfgrade");
 
@@ -163,6 +163,12 @@
         let (name, dial) = (&self.name, self.address);
         format!(r#"{{"host":"{name}","dial":"{dial}","site":"a","block":0,"health":"{health}","born_ms":0}}"#)
     }
+
+    /// This server as an entry of the endpoint list, active and just started.
+    pub fn endpoint_just_started(&self) -> String {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        self.endpoint("in_service").replace(r#""born_ms":0"#, &format!(r#""born_ms":{}"#, now.as_millis()))
+    }
 }
 
 /// Accepts the health check of each server, without a response.
--- a/src/balancer/attempt_timeout.rs
+++ b/src/balancer/attempt_timeout.rs
@@ -51,7 +51,7 @@
         host.connect(session.id, &server.id, self.timeout(session, now));
         server.record_attempt(now);
         server.silent_since.set(server.silent_since.get().or(Some(now)));
-        session.attempts.borrow_mut().push(Attempt { server, sent_at: now, outcome: None });
+        session.attempts.borrow_mut().push(Attempt::new(server, now));
         session.health_checked.set(false);
         FilterStatus::Wait
     }
--- a/src/balancer/filter.rs
+++ b/src/balancer/filter.rs
@@ -33,6 +33,11 @@
         host: &mut dyn Host,
     ) -> FilterStatus;
 
+    /// Whether the session's last attempt, whose connection has just been opened, may still carry the request.
+    fn may_send_request(&self, _session: &Session, _now: Timestamp) -> bool {
+        true
+    }
+
     /// Handles the outcome of the session's last attempt. The attempt's outcome is `None` when its connection has
     /// just been established.
     fn on_outcome(&self, _session: &Rc<Session>, _attempt: &Attempt, _now: Timestamp) {}
--- a/src/balancer/load_balancer.rs
+++ b/src/balancer/load_balancer.rs
@@ -124,7 +124,7 @@
     pub fn restore_session(&mut self, arrival: &Arrival, server: &str, now: Timestamp) {
         let Some(server) = self.state.servers.find(server) else { return };
         let session = self.add_session(arrival);
-        session.attempts.borrow_mut().push(Attempt { server, sent_at: now, outcome: None });
+        session.attempts.borrow_mut().push(Attempt::new(server, now));
         self.record_outcome(&session, None, now);
     }
 
@@ -157,7 +157,9 @@
     /// Whether the session's attempt, whose connection has just opened, may carry the request. If not, the host sends
     /// nothing.
     pub fn may_send_request(&self, session: SessionId, now: Timestamp) -> bool {
-        self.sessions.get(&session).is_none_or(|session| session.may_send_request(now))
+        let is_allowed =
+            |session: &Rc<Session>| self.filters.iter().all(|filter| filter.may_send_request(session, now));
+        self.sessions.get(&session).is_none_or(is_allowed)
     }
 
     /// Handles a server's report of the load of an established session, in microseconds of work per second.
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Not if servers might not recognize the request as a repeat any more, or if the server has been selected as a warm
+    /// one and has restarted since.
+    fn may_send_request(&self, session: &Session, now: Timestamp) -> bool {
+        let is_cold = |attempt: &Attempt| {
+            attempt.server_has_restarted() && self.slow_start.warm_fraction(&attempt.server, now) < 1.0
+        };
+        session.may_send_request(now) && !session.attempts.borrow().last().is_some_and(is_cold)
+    }
+
     fn on_outcome(&self, session: &Rc<Session>, attempt: &Attempt, now: Timestamp) {
         attempt.server.record_outcome(session, attempt, now);
     }
--- a/src/state/session.rs
+++ b/src/state/session.rs
@@ -11,11 +11,25 @@
 /// One attempt of a session.
 pub(crate) struct Attempt {
     pub(crate) server: Rc<Server>,
+    /// The start time of the server as known when the attempt was sent.
+    server_started: Option<Timestamp>,
     pub(crate) sent_at: Timestamp,
     /// `None` while the attempt is pending or established.
     pub(crate) outcome: Option<AttemptOutcome>,
 }
 
+impl Attempt {
+    /// Creates an attempt that is being sent.
+    pub(crate) fn new(server: Rc<Server>, sent_at: Timestamp) -> Self {
+        Attempt { server_started: server.started.get(), server, sent_at, outcome: None }
+    }
+
+    /// Whether a restart of the server has become known since the attempt was sent.
+    pub(crate) fn server_has_restarted(&self) -> bool {
+        self.server.started.get() != self.server_started
+    }
+}
+
 /// A session that waits for answers to the health checks that were sent before its next attempt.
 pub(crate) struct HealthCheckWaiter {
     session: Weak<Session>,
