Maintenance: sessions are looked at only when a window begins, not for each change of the list

Cause: with a schedule, each change that discovery or a peer told walked all sessions of the process and copied a zone's name for each, to have them at hand in case a window begins.

Now they are looked at where a zone begins to empty or closes. Not measured. The test of windows with processes passes.

--- a/crates/proxy/src/proxy/fleet_endpoints.rs
+++ b/crates/proxy/src/proxy/fleet_endpoints.rs
@@ -2,16 +2,13 @@
 //! namespaces.
 
 use crate::proxy::Proxy;
-use crate::session::Stage;
+use crate::session::{Session, Stage};
+use crate::session_table::SessionTable;
 use crate::tenants::tenant_namespaces::NamespaceUpdate;
-use shelfgrade::host::{Endpoint, Host, SessionId};
+use shelfgrade::host::{Endpoint, Host, ServerId, SessionId};
 use shelfgrade_recovery::EndpointAddress;
-
-/// An established session and the zone of its server.
-struct SessionInZone {
-    session: SessionId,
-    zone: String,
-}
+use std::collections::BTreeMap;
+use std::rc::Rc;
 
 impl Proxy {
     /// Applies endpoints that the fleet has agreed on. The maintenance windows are evaluated first, because otherwise a
@@ -36,32 +33,21 @@
         let fleet_time_ms = peers.fleet_time_ms(self.now());
         let endpoints: Vec<Endpoint> =
             self.fleet_endpoints.values().map(|listed| listed.endpoint.clone()).collect();
-        let sessions = self.sessions_in_zones();
-        let sessions_in = |zone: &str| sessions.iter().filter(|session| session.zone == zone).count();
-        let changes = self.maintenance_windows.evaluate(fleet_time_ms, &endpoints, sessions_in);
+        // Sessions are looked at only when a window begins, because this is called for each change of the list.
+        let sessions_in = |zone: &str| sessions_in_zone(zone, &self.executor.sessions, &self.fleet_endpoints);
+        let session_count = |zone: &str| sessions_in(zone).len();
+        let changes = self.maintenance_windows.evaluate(fleet_time_ms, &endpoints, session_count);
+        let closing: Vec<_> = changes.closing_sites.iter().flat_map(|zone| sessions_in(zone)).collect();
         if changes.endpoints_changed {
             self.apply_with_maintenance(self.fleet_endpoints.values().map(duplicate).collect(), true);
         }
-        for SessionInZone { session, zone } in sessions {
-            if changes.closing_sites.contains(&zone) {
-                self.executor.metrics.count("migrated for maintenance");
-                self.executor.migrate(session);
-            }
+        for session in closing {
+            self.executor.metrics.count("migrated for maintenance");
+            self.executor.migrate(session);
         }
         self.run_deferred_actions();
     }
 
-    fn sessions_in_zones(&self) -> Vec<SessionInZone> {
-        let established =
-            self.executor.sessions.values().filter(|session| session.stage.get() == Stage::Established);
-        established
-            .filter_map(|session| {
-                let listed = self.fleet_endpoints.get(&session.attempt.borrow().as_ref()?.server.id)?;
-                Some(SessionInZone { session: session.id, zone: listed.endpoint.zone.clone() })
-            })
-            .collect()
-    }
-
     fn apply_with_maintenance(&mut self, endpoints: Vec<EndpointAddress>, is_complete: bool) {
         let now = self.now();
         let (endpoints, addresses): (Vec<_>, Vec<_>) = endpoints
@@ -84,6 +70,20 @@
     }
 }
 
+/// The established sessions at servers of a zone.
+fn sessions_in_zone(
+    zone: &str,
+    sessions: &SessionTable<Session>,
+    endpoints: &BTreeMap<ServerId, EndpointAddress>,
+) -> Vec<SessionId> {
+    let is_in_zone = |session: &&Rc<Session>| {
+        let attempt = session.attempt.borrow();
+        let listed = attempt.as_ref().and_then(|attempt| endpoints.get(&attempt.server.id));
+        session.stage.get() == Stage::Established && listed.is_some_and(|listed| listed.endpoint.zone == zone)
+    };
+    sessions.values().filter(is_in_zone).map(|session| session.id).collect()
+}
+
 fn duplicate(listed: &EndpointAddress) -> EndpointAddress {
     EndpointAddress { endpoint: listed.endpoint.clone(), address: listed.address }
 }
