Proxy: two tasks for the latency reports, a file of their own for tests of busy sessions

report_message_latencies had two loops that each repeated Proxy::on_message_latency: they are report_unanswered_messages and report_server_latencies, and call it. Tests of sessions that send much are in busy_sessions.rs.

--- a/crates/proxy/src/proxy/session_events.rs
+++ b/crates/proxy/src/proxy/session_events.rs
@@ -77,7 +77,8 @@
         self.run_deferred_actions();
     }
 
-    /// Called when a server has reported its message latency on a session.
+    /// Called when a message of a session has taken this long so far, or has been answered after this time, or when the
+    /// server has reported such a latency on the session.
     pub fn on_message_latency(&mut self, session: SessionId, latency: Duration) {
         let now = self.now();
         self.balancer.on_message_latency(session, latency, now, &mut self.executor);
--- a/crates/proxy/src/proxy/ticks.rs
+++ b/crates/proxy/src/proxy/ticks.rs
@@ -34,33 +34,34 @@
         let sessions = &self.executor.sessions;
         self.balancer.evict_idle(|session| sessions.contains(*session), now);
         self.apply_maintenance_windows();
-        self.report_message_latencies(now);
+        self.report_unanswered_messages(now);
+        self.report_server_latencies(now);
     }
 
-    /// Reports to the load balancer how long clients have been waiting for a reply, and the message latency of each
-    /// server, as measured and as last reported by it.
-    fn report_message_latencies(&mut self, now: Timestamp) {
-        let servers: Vec<_> = self.executor.servers.values().cloned().collect();
+    /// Reports to the load balancer how long clients have been waiting for a reply.
+    fn report_unanswered_messages(&mut self, now: Timestamp) {
         let is_waiting = |session: &Session| {
             session.stage.get() == Stage::Established && session.awaiting_reply_since.get().is_some()
         };
         for session in self.executor.awaiting_reply.retain_pending(is_waiting) {
             self.executor.metrics.count("session checks");
             // Reports on previous sessions may have caused the migration of this one.
-            if let Some(since) =
-                session.awaiting_reply_since.get().filter(|_| session.stage.get() == Stage::Established)
-            {
-                self.balancer.on_message_latency(session.id, now.since(since), now, &mut self.executor);
-                self.run_deferred_actions();
+            let is_established = session.stage.get() == Stage::Established;
+            if let Some(since) = session.awaiting_reply_since.get().filter(|_| is_established) {
+                self.on_message_latency(session.id, now.since(since));
             }
         }
+    }
+
+    /// Reports to the load balancer the message latency of each server, as measured and as last reported by the server.
+    fn report_server_latencies(&mut self, now: Timestamp) {
+        let servers: Vec<_> = self.executor.servers.values().cloned().collect();
         for server in servers {
             let measured = server.message_latency.take_median();
             let reported = server.latency_report_limiter.take_held(now);
             for (latency, session) in measured.into_iter().chain(reported) {
                 log::debug!("message latency of {}: {} ms", server.id, latency.as_ms());
-                self.balancer.on_message_latency(session.id, latency, now, &mut self.executor);
-                self.run_deferred_actions();
+                self.on_message_latency(session.id, latency);
             }
         }
     }
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the proxy process on real sockets, with one file per area.
 
+mod busy_sessions;
 mod client_abort_races;
 mod client_aborts;
 mod concurrent_events;
